--- /dev/null
+++ b/src/carobslip/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports on aiohttp, pynng and statsd."""
--- /dev/null
+++ b/src/carobslip/adapters/control_nng.py
@@ -0,0 +1,117 @@
+"""Control messages over pynng request and reply sockets."""
+
+import asyncio
+import collections
+from typing import Any, Final
+
+import pynng
+
+from carobslip import control
+
+_PEERS_MAX: Final = 96
+_WORKERS: Final = 8
+_RECONNECT_MIN_MS: Final = 50
+_RECONNECT_MAX_MS: Final = 500
+#: Threads of the messaging library: few, since a node has little to spend.
+_THREADS: Final = (
+    (pynng.lib.NNG_INIT_NUM_TASK_THREADS, 2),
+    (pynng.lib.NNG_INIT_MAX_TASK_THREADS, 2),
+    (pynng.lib.NNG_INIT_NUM_EXPIRE_THREADS, 1),
+    (pynng.lib.NNG_INIT_MAX_EXPIRE_THREADS, 1),
+    (pynng.lib.NNG_INIT_NUM_POLLER_THREADS, 1),
+    (pynng.lib.NNG_INIT_MAX_POLLER_THREADS, 1),
+    (pynng.lib.NNG_INIT_NUM_RESOLVER_THREADS, 1),
+)
+
+
+def limit_threads() -> None:
+    """Bounds the library's threads; call before the first socket."""
+    for parameter, threads in _THREADS:
+        pynng.lib.nng_init_set_parameter(parameter, threads)
+
+
+class NngTransport:
+    """Implements the control transport.
+
+    The library sends a request again when a connection breaks, so every
+    control request is idempotent. Sockets are kept for the peers used most
+    recently; each call has a context of its own.
+    """
+
+    def __init__(self) -> None:
+        self._peers: collections.OrderedDict[str, Any] = (
+            collections.OrderedDict()
+        )
+        self._server: Any = None
+        self._workers: list[asyncio.Task[None]] = []
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def call(
+        self,
+        address: str,
+        frame: bytes,
+        timeout_ms: float,
+    ) -> bytes:
+        """Sends one request and returns the answer.
+
+        Raises:
+            PeerUnreachable: No answer came within ``timeout_ms``.
+        """
+        context = self._socket(address).new_context()
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await context.asend(frame)
+                self.sent_bytes += len(frame)
+                answer: bytes = await context.arecv()
+        except (TimeoutError, pynng.NNGException) as fault:
+            raise control.PeerUnreachable(f'{address}: {fault!r}') from None
+        finally:
+            context.close()
+        self.received_bytes += len(answer)
+        return answer
+
+    async def serve(self, address: str, handler: control.Handler) -> None:
+        """Answers requests that arrive at ``address``."""
+        self._server = pynng.Rep0(recv_max_size=control.MESSAGE_MAX_BYTES)
+        self._server.listen(f'tcp://{address}')
+        self._workers = [
+            asyncio.ensure_future(self._work(handler)) for _ in range(_WORKERS)
+        ]
+
+    async def close(self) -> None:
+        """Stops answering and drops all connections."""
+        for worker in self._workers:
+            worker.cancel()
+        await asyncio.gather(*self._workers, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+        while self._peers:
+            self._peers.popitem()[1].close()
+
+    async def _work(self, handler: control.Handler) -> None:
+        context = self._server.new_context()
+        try:
+            while True:
+                frame = await context.arecv()
+                answer = await handler(frame)
+                self.received_bytes += len(frame)
+                self.sent_bytes += len(answer)
+                await context.asend(answer)
+        finally:
+            context.close()
+
+    def _socket(self, address: str) -> Any:
+        known = self._peers.get(address)
+        if known is None:
+            known = pynng.Req0(
+                recv_max_size=control.MESSAGE_MAX_BYTES,
+                reconnect_time_min=_RECONNECT_MIN_MS,
+                reconnect_time_max=_RECONNECT_MAX_MS,
+            )
+            known.dial(f'tcp://{address}', block=False)
+            self._peers[address] = known
+            if len(self._peers) > _PEERS_MAX:
+                self._peers.popitem(last=False)[1].close()
+        self._peers.move_to_end(address)
+        return known
--- /dev/null
+++ b/src/carobslip/adapters/target_client.py
@@ -0,0 +1,121 @@
+"""Calls of the target over HTTP: the guard's side."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Final
+
+import aiohttp
+
+from carobslip import guard
+
+_CONNECT_TIMEOUT_S: Final = 1.0
+_PROBE_TIMEOUT_S: Final = 1.0
+
+
+class HttpTargetAnswer:
+    """An answer whose body may still be arriving."""
+
+    def __init__(self, *, response: aiohttp.ClientResponse) -> None:
+        self._response = response
+        self.status = response.status
+        self.content_type = response.headers.get(
+            'Content-Type',
+            'application/octet-stream',
+        )
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives."""
+        try:
+            async for content in self._response.content.iter_any():
+                yield content
+        except (aiohttp.ClientError, OSError) as fault:
+            raise guard.TargetLost(repr(fault)) from None
+
+
+class HttpTarget:
+    """Implements the target port.
+
+    Every call has a connection of its own: the client library sends some
+    calls again when a kept connection breaks, and a closed connection tells
+    the target that nobody waits any more.
+
+    Args:
+        base_url: Where the target listens.
+        probe_path: A cheap call that tells whether the target is up.
+    """
+
+    def __init__(self, *, base_url: str, probe_path: str) -> None:
+        self._base_url = base_url.rstrip('/')
+        self._probe_path = probe_path
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                sock_connect=_CONNECT_TIMEOUT_S,
+            ),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            trust_env=False,
+        )
+
+    @asynccontextmanager
+    async def call(
+        self,
+        call: guard.TargetCall,
+    ) -> AsyncIterator[HttpTargetAnswer]:
+        """Sends a call and yields the answer; leaving early cancels it.
+
+        Raises:
+            TargetNotReached: Nothing was sent.
+            TargetLost: The call was sent and no answer came.
+        """
+        response = await self._send(call)
+        try:
+            yield HttpTargetAnswer(response=response)
+        finally:
+            response.close()
+
+    async def is_up(self) -> bool:
+        """Tells whether the target answers its probe."""
+        try:
+            async with self._session.get(
+                f'{self._base_url}{self._probe_path}',
+                timeout=aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S),
+            ) as response:
+                return response.status < 500
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    async def close(self) -> None:
+        """Drops all connections."""
+        await self._session.close()
+
+    async def _send(self, call: guard.TargetCall) -> aiohttp.ClientResponse:
+        try:
+            return await self._session.request(
+                call.method,
+                f'{self._base_url}/{call.path.lstrip("/")}',
+                data=call.body,
+                headers=_headers(call),
+                allow_redirects=False,
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
+        ) as fault:
+            raise guard.TargetNotReached(repr(fault)) from None
+        except (aiohttp.ClientError, OSError, TimeoutError) as fault:
+            raise guard.TargetLost(repr(fault)) from None
+
+
+def _headers(call: guard.TargetCall) -> dict[str, str]:
+    headers = {
+        'Content-Type': call.content_type,
+        'Carobslip-Request-Id': call.request_id,
+        'Carobslip-Priority': str(call.priority),
+        'Carobslip-Timeout-Ms': str(int(call.timeout_ms)),
+    }
+    if call.key is not None:
+        headers['Idempotency-Key'] = call.key
+    return headers
--- /dev/null
+++ b/src/carobslip/attempts/_frame_reader.py
@@ -0,0 +1,82 @@
+"""Reads a guard's reply and refuses anything that is not in order."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import msgspec
+
+from carobslip import identifiers
+from carobslip.attempts import _frames
+
+_FRAME_MAX_BYTES: Final = 16_777_216
+
+_decoder: Final = msgspec.msgpack.Decoder(_frames.Frame)
+
+ReadExactly = Callable[[int], Awaitable[bytes]]
+
+
+class FrameSequenceBroken(Exception):
+    """The bytes are not the expected reply, or end before it is whole."""
+
+
+class FrameReader:
+    """Yields the frames of one reply.
+
+    Args:
+        request_id: Frames for another request are refused.
+        incarnation: A head of another start of the guard is refused.
+        read_exactly: Returns that many bytes; raises EOFError at the end.
+    """
+
+    def __init__(
+        self,
+        *,
+        request_id: identifiers.RequestId,
+        incarnation: identifiers.Incarnation,
+        read_exactly: ReadExactly,
+    ) -> None:
+        self._request_id = request_id
+        self._incarnation = incarnation
+        self._read_exactly = read_exactly
+        self._next_chunk = 0
+
+    async def read(self) -> _frames.Frame:
+        """Returns the next frame.
+
+        Raises:
+            FrameSequenceBroken: The reply ends early or is not in order.
+        """
+        try:
+            prefix = await self._read_exactly(_frames.LENGTH_BYTES)
+            length = int.from_bytes(prefix)
+            if length > _FRAME_MAX_BYTES:
+                raise FrameSequenceBroken(f'a frame of {length} bytes')
+            frame = _decoder.decode(await self._read_exactly(length))
+        except EOFError:
+            raise FrameSequenceBroken('the reply ends early') from None
+        except (msgspec.DecodeError, UnicodeError) as fault:
+            raise FrameSequenceBroken(str(fault)) from None
+        self._check_order(frame)
+        return frame
+
+    def _check_order(self, frame: _frames.Frame) -> None:
+        if isinstance(frame, _frames.Chunk):
+            self._check_chunk(frame)
+            return
+        if frame.request_id != self._request_id:
+            raise FrameSequenceBroken(f'answers request {frame.request_id}')
+        if isinstance(frame, _frames.Head):
+            if frame.incarnation != self._incarnation:
+                raise FrameSequenceBroken('another start of the guard answers')
+        elif isinstance(frame, _frames.End):
+            if frame.chunks != self._next_chunk:
+                raise FrameSequenceBroken(
+                    f'{frame.chunks} chunks sent, {self._next_chunk} received',
+                )
+
+    def _check_chunk(self, chunk: _frames.Chunk) -> None:
+        if chunk.number != self._next_chunk:
+            raise FrameSequenceBroken(
+                f'chunk {chunk.number} where {self._next_chunk} is next',
+            )
+        self._next_chunk += 1
--- /dev/null
+++ b/src/carobslip/cli/_application.py
@@ -0,0 +1,110 @@
+"""Commands of the ``carobslip`` program.
+
+Exit codes: 0 done, 1 a document or setting was refused, 2 wrong usage,
+3 an instance could not be asked, 4 nothing is known of what was asked for.
+"""
+
+import enum
+import pathlib
+from typing import Annotated
+
+import typer
+
+import carobslip
+from carobslip import observability
+from carobslip.cli import _documents, _questions
+
+application = typer.Typer(
+    name='carobslip',
+    help='Load balancer for expert-parallel model groups.',
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+
+SettingsOption = Annotated[
+    pathlib.Path,
+    typer.Option('--settings', help='Settings file, JSON with comments.'),
+]
+LogFormatOption = Annotated[
+    observability.LogFormat,
+    typer.Option('--log-format', help='How log lines are written.'),
+]
+AddressArgument = Annotated[
+    str,
+    typer.Argument(help='Operator address of an instance, IP:PORT.'),
+]
+JsonOption = Annotated[
+    bool,
+    typer.Option('--json', help='Print JSON for other programs.'),
+]
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the program."""
+
+    DONE = 0
+    REFUSED = 1
+    UNREACHABLE = 3
+    UNKNOWN = 4
+
+
+@application.command()
+def entry(
+    settings: SettingsOption,
+    log_format: LogFormatOption = observability.LogFormat.JSON,
+) -> None:
+    """Run an entry instance until SIGTERM."""
+    observability.configure_logging(log_format)
+    _documents.run_role(settings, role='entry')
+
+
+@application.command()
+def guard(
+    settings: SettingsOption,
+    log_format: LogFormatOption = observability.LogFormat.JSON,
+) -> None:
+    """Run the guard of one target until SIGTERM."""
+    observability.configure_logging(log_format)
+    _documents.run_role(settings, role='guard')
+
+
+@application.command()
+def check(
+    file: Annotated[
+        pathlib.Path,
+        typer.Argument(help='Settings or configuration file.'),
+    ],
+    previous: Annotated[
+        pathlib.Path | None,
+        typer.Option(help='The configuration that is in force now.'),
+    ] = None,
+) -> None:
+    """Check a settings or configuration file before it is used."""
+    fault = _documents.find_fault(file, previous)
+    if fault is not None:
+        typer.echo(fault, err=True)
+        raise typer.Exit(ExitCode.REFUSED)
+    typer.echo(f'{file}: accepted')
+
+
+@application.command()
+def status(address: AddressArgument, json: JsonOption = False) -> None:
+    """Show what one instance sees."""
+    _questions.show_status(address, as_json=json)
+
+
+@application.command()
+def explain(
+    address: AddressArgument,
+    request_id: Annotated[str, typer.Argument(help='Carobslip-Request-Id.')],
+    json: JsonOption = False,
+) -> None:
+    """Show where a recent request went, and why."""
+    _questions.show_explanation(address, request_id, as_json=json)
+
+
+@application.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(carobslip.__version__)
--- /dev/null
+++ b/src/carobslip/cli/_documents.py
@@ -0,0 +1,76 @@
+"""Reads files for the commands."""
+
+import pathlib
+
+import typer
+
+from carobslip import configuration, settings
+
+_REFUSED = 1
+
+
+def run_role(path: pathlib.Path, *, role: str) -> None:
+    """Runs the process that a settings file describes.
+
+    Args:
+        path: The settings file.
+        role: The role that the command names.
+    """
+    try:
+        own = settings.read_settings(path)
+    except (configuration.InvalidDocument, OSError) as fault:
+        typer.echo(str(fault), err=True)
+        raise typer.Exit(_REFUSED) from None
+    # The servers are loaded only by the commands that run them.
+    from carobslip import processes
+
+    if isinstance(own, settings.EntrySettings) and role == 'entry':
+        processes.run_process(processes.EntryProcess(own=own))
+    elif isinstance(own, settings.GuardSettings) and role == 'guard':
+        processes.run_process(processes.GuardProcess(own=own))
+    else:
+        typer.echo(f'{path}:1: $.kind: the command is {role!r}', err=True)
+        raise typer.Exit(_REFUSED)
+
+
+def find_fault(
+    path: pathlib.Path,
+    previous: pathlib.Path | None,
+) -> str | None:
+    """Returns what is wrong with a settings or configuration file.
+
+    Args:
+        path: The file.
+        previous: The configuration that it is to replace, if any.
+    """
+    try:
+        document = _read_any(path)
+        if previous is None:
+            return None
+        before = _read_any(previous)
+    except (configuration.InvalidDocument, OSError) as fault:
+        return str(fault)
+    if not isinstance(document, configuration.Configuration):
+        return f'{path}:1: $.kind: only configurations have a previous one'
+    if not isinstance(before, configuration.Configuration):
+        return f'{previous}:1: $.kind: this is not a configuration'
+    step_fault = configuration.find_step_fault(before, document)
+    return None if step_fault is None else f'{path}: {step_fault}'
+
+
+def _read_any(
+    path: pathlib.Path,
+) -> (
+    settings.EntrySettings
+    | settings.GuardSettings
+    | configuration.Configuration
+):
+    return configuration.read_tagged(
+        path.read_text(encoding='utf-8'),
+        source=str(path),
+        kinds=(
+            settings.EntrySettings,
+            settings.GuardSettings,
+            configuration.Configuration,
+        ),
+    )
--- /dev/null
+++ b/src/carobslip/configuration/_document.py
@@ -0,0 +1,176 @@
+"""The whole document and its parts."""
+
+import datetime
+import enum
+import fnmatch
+from typing import Annotated, Any
+
+import msgspec
+
+from carobslip import identifiers
+from carobslip.configuration import _exceptions, _policy
+
+
+class ServiceKind(enum.Enum):
+    """How the targets of a service behave."""
+
+    ENGINE = 'engine'
+    PLAIN = 'plain'
+
+
+class RepeatableCall(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Calls that may run more than once without harm.
+
+    Attributes:
+        method: HTTP method in capitals.
+        path: Path below the service, with shell-style wildcards.
+    """
+
+    method: str
+    path: str
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tells whether a call falls under this rule."""
+        return self.method == method and fnmatch.fnmatchcase(path, self.path)
+
+
+class Service(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """One kind of work and the targets that do it.
+
+    Attributes:
+        kind: Whether the targets are model engines or plain services.
+        targets: Members that vote on keys; required for plain services.
+        models: Models that the engines serve.
+        repeatable: Calls that may be sent to a second target.
+        fencing_checked: Whether targets refuse orders with an old number.
+        keys_valid_from: Operators state that no caller's key of this service
+            was made before this moment.
+        policy: Values that differ from the defaults for this service.
+        objective: Service level for reports.
+    """
+
+    kind: ServiceKind
+    targets: tuple[identifiers.TargetId, ...] = ()
+    models: tuple[identifiers.ModelId, ...] = ()
+    repeatable: tuple[RepeatableCall, ...] = ()
+    fencing_checked: bool = False
+    keys_valid_from: datetime.datetime | None = None
+    policy: _policy.PolicyOverride = _policy.PolicyOverride()  # type: ignore[valid-type]
+    objective: _policy.Objective = _policy.Objective()
+
+    def __post_init__(self) -> None:
+        if self.kind is ServiceKind.PLAIN and not self.targets:
+            raise ValueError(
+                'targets is empty; a plain service needs the list of members '
+                'that vote on idempotency keys',
+            )
+        if len(set(self.targets)) != len(self.targets):
+            raise ValueError('targets names a member twice')
+        moment = self.keys_valid_from
+        if moment is not None and moment.tzinfo is None:
+            raise ValueError('keys_valid_from has no time zone; add Z')
+
+    @property
+    def keys_valid_from_ms(self) -> int | None:
+        """Unix time of ``keys_valid_from`` in milliseconds."""
+        if self.keys_valid_from is None:
+            return None
+        return int(self.keys_valid_from.timestamp() * 1000)
+
+    def is_repeatable(self, method: str, path: str) -> bool:
+        """Tells whether a call may run more than once without harm."""
+        return any(rule.matches(method, path) for rule in self.repeatable)
+
+
+class Withdrawal(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """A data centre or a target that operators have taken out."""
+
+    reason: str
+    data_centre: identifiers.DataCentreId | None = None
+    target: identifiers.TargetId | None = None
+
+    def __post_init__(self) -> None:
+        if (self.data_centre is None) == (self.target is None):
+            raise ValueError('name either a data_centre or a target')
+        _exceptions.require_reason(self.reason)
+
+
+class Configuration(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    tag_field='kind',
+    tag='configuration',
+):
+    """Everything that operators decide, under one version.
+
+    Attributes:
+        version: Increases with every change; the higher one is in force.
+        defaults: Values for the whole fleet.
+        services: Services by name.
+        exceptions: Deviations, applied in order, the last one winning.
+        out: Data centres and targets that get no new work.
+        address_ttl_ms: How long callers may keep the answer on addresses.
+    """
+
+    version: Annotated[int, msgspec.Meta(ge=1)]
+    defaults: _policy.Policy = _policy.Policy()
+    services: dict[identifiers.ServiceId, Service] = {}
+    exceptions: tuple[_exceptions.PolicyException, ...] = ()
+    out: tuple[Withdrawal, ...] = ()
+    address_ttl_ms: Annotated[int, msgspec.Meta(ge=1)] = 10_000
+
+    def __post_init__(self) -> None:
+        for name, service in self.services.items():
+            _check_policy(f'services.{name}', self.defaults, service.policy)
+        for index, exception in enumerate(self.exceptions):
+            where = f'exceptions[{index}]'
+            self._check_scope(where, exception.scope)
+            _check_policy(where, self.defaults, exception.override)
+
+    def data_centre_is_out(self, name: identifiers.DataCentreId) -> bool:
+        """Tells whether operators have taken a data centre out."""
+        return any(entry.data_centre == name for entry in self.out)
+
+    def target_is_out(
+        self,
+        target: identifiers.TargetId,
+        data_centre: identifiers.DataCentreId,
+    ) -> bool:
+        """Tells whether a target must get no new work."""
+        named = any(entry.target == target for entry in self.out)
+        return named or self.data_centre_is_out(data_centre)
+
+    def service_for_model(self, model: str) -> identifiers.ServiceId | None:
+        """Returns the service whose engines serve ``model``, if any."""
+        for name, service in self.services.items():
+            if model in service.models:
+                return name
+        return None
+
+    def _check_scope(self, where: str, scope: _exceptions.Scope) -> None:
+        if scope.service is not None and scope.service not in self.services:
+            raise ValueError(f'{where}: no service named {scope.service!r}')
+
+
+def _check_policy(where: str, defaults: _policy.Policy, override: Any) -> None:
+    try:
+        _policy.apply_override(defaults, override)
+    except ValueError as fault:
+        raise ValueError(f'{where}: {fault}') from None
--- /dev/null
+++ b/src/carobslip/control/_messages.py
@@ -0,0 +1,280 @@
+"""Typed messages between processes.
+
+Every request is idempotent, because the transport may deliver it twice.
+"""
+
+import enum
+from typing import Annotated
+
+import msgspec
+
+from carobslip import directory, identifiers
+
+_NAME_MAX_CHARS = 128
+_MEMBERS_MAX = 64
+_TEXT_MAX_CHARS = 1_048_576
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_NAME_MAX_CHARS)]
+
+
+class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Base of all messages; the class name is the tag."""
+
+
+class Origin(msgspec.Struct, frozen=True, kw_only=True):
+    """The process that sent a message.
+
+    Attributes:
+        instance: Name from its settings.
+        incarnation: Which start of that process.
+        control_address: Where it receives control messages.
+    """
+
+    instance: identifiers.InstanceId
+    incarnation: identifiers.Incarnation
+    control_address: Name
+
+
+class MemberState(enum.Enum):
+    """What is believed about a member."""
+
+    ALIVE = 'alive'
+    SUSPECT = 'suspect'
+    LEAVING = 'leaving'
+    DEAD = 'dead'
+
+
+class MemberUpdate(msgspec.Struct, frozen=True, kw_only=True):
+    """News about one member, spread with probes.
+
+    Attributes:
+        record: The member and its addresses.
+        incarnation: The start that the news is about.
+        counter: Raised by the member itself to refute a suspicion.
+        state: What is believed.
+    """
+
+    record: directory.InstanceRecord
+    incarnation: identifiers.Incarnation
+    counter: int
+    state: MemberState
+
+
+News = Annotated[
+    tuple[MemberUpdate, ...],
+    msgspec.Meta(max_length=_MEMBERS_MAX),
+]
+
+
+class Probe(_Message, frozen=True, kw_only=True):
+    """Asks whether the receiver is alive."""
+
+    news: News = ()
+
+
+class ProbeRequest(_Message, frozen=True, kw_only=True):
+    """Asks the receiver to probe a third process."""
+
+    address: Name
+    news: News = ()
+
+
+class ProbeAcknowledged(_Message, frozen=True, kw_only=True):
+    """States that the probed process answered."""
+
+    news: News = ()
+
+
+class ProbeFailed(_Message, frozen=True, kw_only=True):
+    """States that the third process did not answer."""
+
+    news: News = ()
+
+
+class FetchConfiguration(_Message, frozen=True, kw_only=True):
+    """Asks for the configuration that the receiver holds."""
+
+
+class ConfigurationText(_Message, frozen=True, kw_only=True):
+    """The configuration that the sender holds; empty when it holds none."""
+
+    text: Annotated[str, msgspec.Meta(max_length=_TEXT_MAX_CHARS)]
+
+
+class Hello(_Message, frozen=True, kw_only=True):
+    """Asks a guard for its present hint."""
+
+
+class GuardHint(_Message, frozen=True, kw_only=True):
+    """What an entry needs in order to choose and address a guard.
+
+    Attributes:
+        target: The target behind the guard.
+        incarnation: Which start of the guard.
+        guard_now_ms: The guard's monotonic clock.
+        room: Requests that could start at once.
+        waiting: Requests in the guard's queue.
+        limit: Present concurrency limit.
+        accepts_work: False while draining or taken out.
+        cost_ms: Recent time in service of one request.
+    """
+
+    target: identifiers.TargetId
+    incarnation: identifiers.Incarnation
+    guard_now_ms: float
+    room: int
+    waiting: int
+    limit: int
+    accepts_work: bool
+    cost_ms: float = 0
+
+
+class KeyRef(msgspec.Struct, frozen=True, kw_only=True):
+    """A caller's idempotency key within its team."""
+
+    team: identifiers.TeamId
+    key: identifiers.IdempotencyKey
+
+
+class ClaimId(msgspec.Struct, frozen=True, kw_only=True, order=True):
+    """One round in which a guard asks for the right to run a key.
+
+    Attributes:
+        target: The claiming guard's target.
+        incarnation: Which start of the claiming guard.
+        round: Counts the guard's rounds for this key from 1.
+    """
+
+    target: identifiers.TargetId
+    incarnation: identifiers.Incarnation
+    round: int
+
+
+class VoteState(enum.Enum):
+    """How a guard answers a request for its vote."""
+
+    GRANTED = 'granted'
+    HELD = 'held'
+    NO_MEMORY = 'no-memory'
+    VIEW_DIFFERS = 'view-differs'
+    RECORD_FULL = 'record-full'
+
+
+class VoteRequest(_Message, frozen=True, kw_only=True):
+    """Asks for the receiver's vote on a key.
+
+    Attributes:
+        key: The key.
+        claim: The round that asks.
+        abandoned: Rounds that their guards have given up for good.
+        view_digest: Digest of the member list that the claim counts on.
+    """
+
+    key: KeyRef
+    claim: ClaimId
+    abandoned: Annotated[
+        tuple[ClaimId, ...],
+        msgspec.Meta(max_length=_MEMBERS_MAX),
+    ]
+    view_digest: int
+
+
+class VoteAnswer(_Message, frozen=True, kw_only=True):
+    """Answers a vote request; ``holder`` has the vote after the answer."""
+
+    state: VoteState
+    holder: ClaimId | None = None
+
+
+class RoundStanding(enum.Enum):
+    """How a round stands at the guard that opened it."""
+
+    OPEN = 'open'
+    WON = 'won'
+    ABANDONED = 'abandoned'
+
+
+class RoundState(_Message, frozen=True, kw_only=True):
+    """Answers a round query; ABANDONED is final for that round."""
+
+    standing: RoundStanding
+
+
+class RoundQuery(_Message, frozen=True, kw_only=True):
+    """Asks the guard that opened a round whether it has given it up."""
+
+    key: KeyRef
+    claim: ClaimId
+
+
+class SettleState(enum.Enum):
+    """What a guard knows about a key when asked to settle it."""
+
+    UNSEEN = 'unseen'
+    RUNNING = 'running'
+    DONE = 'done'
+    IN_DOUBT = 'in-doubt'
+
+
+class SettleKey(_Message, frozen=True, kw_only=True):
+    """Asks a guard to refuse a key's earlier attempts unless they run."""
+
+    key: KeyRef
+    incarnation: identifiers.Incarnation
+
+
+class SettleAnswer(_Message, frozen=True, kw_only=True):
+    """Answers a settle request.
+
+    Attributes:
+        state: UNSEEN means that all earlier attempts are refused from now on.
+        exclusive: The guard held the key's majority until now.
+        hint: The guard's present hint.
+    """
+
+    state: SettleState
+    exclusive: bool
+    hint: GuardHint
+
+
+class Refused(_Message, frozen=True, kw_only=True):
+    """States that a request could not be handled, and why."""
+
+    fault: Annotated[str, msgspec.Meta(max_length=500)]
+
+
+Message = (
+    Probe
+    | ProbeRequest
+    | ProbeAcknowledged
+    | ProbeFailed
+    | FetchConfiguration
+    | ConfigurationText
+    | Hello
+    | GuardHint
+    | VoteRequest
+    | VoteAnswer
+    | RoundQuery
+    | RoundState
+    | SettleKey
+    | SettleAnswer
+    | Refused
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, kw_only=True):
+    """A message with its origin.
+
+    Attributes:
+        protocol: Version of these types; others are refused.
+        origin: The sender.
+        configuration_version: Highest version that the sender holds.
+        configuration_digest: Digest of that document.
+        message: The content.
+    """
+
+    protocol: int
+    origin: Origin
+    configuration_version: int
+    configuration_digest: int
+    message: Message
--- /dev/null
+++ b/src/carobslip/control/_node.py
@@ -0,0 +1,163 @@
+"""One process's end of the control traffic."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeVar
+
+from carobslip import configuration
+from carobslip.control import _codec, _messages, _port
+
+_FETCH_TIMEOUT_MS: Final = 1000.0
+
+AnswerT = TypeVar('AnswerT', bound=_messages.Message)
+MessageHandler = Callable[[Any, _messages.Origin], Awaitable[_messages.Message]]
+
+
+class Node:
+    """Sends and answers messages, and keeps configurations equal.
+
+    Every envelope carries the sender's configuration version; whoever is
+    behind fetches the document from the peer that is ahead.
+
+    Args:
+        origin: This process.
+        holder: The configuration that it holds.
+        transport: How messages travel.
+    """
+
+    def __init__(
+        self,
+        *,
+        origin: _messages.Origin,
+        holder: configuration.Holder,
+        transport: _port.Transport,
+    ) -> None:
+        self.origin = origin
+        self.holder = holder
+        self._transport = transport
+        self._handlers: dict[type[_messages.Message], MessageHandler] = {}
+        self._fetches: dict[str, asyncio.Task[None]] = {}
+        self.undecodable_total = 0
+        self.on(_messages.FetchConfiguration, self._answer_fetch)
+
+    def on(
+        self,
+        kind: type[_messages.Message],
+        handler: MessageHandler,
+    ) -> None:
+        """Registers the handler of one type of request."""
+        self._handlers[kind] = handler
+
+    async def start(self) -> None:
+        """Starts to answer requests at the origin's control address."""
+        await self._transport.serve(
+            self.origin.control_address,
+            self._answer_frame,
+        )
+
+    async def close(self) -> None:
+        """Stops all traffic."""
+        for fetch in self._fetches.values():
+            fetch.cancel()
+        await self._transport.close()
+
+    async def ask(
+        self,
+        address: str,
+        message: _messages.Message,
+        *,
+        answer: type[AnswerT],
+        timeout_ms: float,
+    ) -> AnswerT:
+        """Sends a request and returns its answer.
+
+        Args:
+            address: Control address of the peer.
+            message: The request.
+            answer: Expected type of the answer.
+            timeout_ms: How long to wait.
+
+        Raises:
+            PeerUnreachable: No answer of that type came in time.
+        """
+        frame = await self._transport.call(
+            address,
+            self._wrap(message),
+            timeout_ms,
+        )
+        try:
+            envelope = _codec.decode(frame)
+        except _codec.UndecodableMessage as fault:
+            self.undecodable_total += 1
+            raise _port.PeerUnreachable(str(fault)) from None
+        self._compare_versions(envelope)
+        if not isinstance(envelope.message, answer):
+            raise _port.PeerUnreachable(f'answered {envelope.message!r}')
+        return envelope.message
+
+    async def fetch_configuration(self, address: str) -> bool:
+        """Fetches a peer's configuration.
+
+        Returns:
+            Whether the peer answered with a document.
+        """
+        try:
+            answer = await self.ask(
+                address,
+                _messages.FetchConfiguration(),
+                answer=_messages.ConfigurationText,
+                timeout_ms=_FETCH_TIMEOUT_MS,
+            )
+        except _port.PeerUnreachable:
+            return False
+        if not answer.text:
+            return False
+        self.holder.offer(answer.text, source=address)
+        return True
+
+    def _wrap(self, message: _messages.Message) -> bytes:
+        version, digest = self.holder.rank
+        return _codec.encode(
+            _messages.Envelope(
+                protocol=_codec.PROTOCOL,
+                origin=self.origin,
+                configuration_version=version,
+                configuration_digest=digest,
+                message=message,
+            ),
+        )
+
+    async def _answer_frame(self, frame: bytes) -> bytes:
+        try:
+            envelope = _codec.decode(frame)
+        except _codec.UndecodableMessage as fault:
+            self.undecodable_total += 1
+            return self._wrap(_messages.Refused(fault=str(fault)[:500]))
+        self._compare_versions(envelope)
+        handler = self._handlers.get(type(envelope.message))
+        if handler is None:
+            return self._wrap(
+                _messages.Refused(fault='request not served here')
+            )
+        return self._wrap(await handler(envelope.message, envelope.origin))
+
+    def _compare_versions(self, envelope: _messages.Envelope) -> None:
+        theirs = (envelope.configuration_version, envelope.configuration_digest)
+        address = envelope.origin.control_address
+        if theirs <= self.holder.rank or address in self._fetches:
+            return
+        fetch = asyncio.ensure_future(self._fetch_once(address))
+        self._fetches[address] = fetch
+
+    async def _fetch_once(self, address: str) -> None:
+        try:
+            await self.fetch_configuration(address)
+        finally:
+            self._fetches.pop(address, None)
+
+    async def _answer_fetch(
+        self,
+        request: _messages.FetchConfiguration,
+        origin: _messages.Origin,
+    ) -> _messages.ConfigurationText:
+        return _messages.ConfigurationText(text=self.holder.text)
--- /dev/null
+++ b/src/carobslip/directory/__init__.py
@@ -0,0 +1,17 @@
+"""Who is part of the fleet and where they can be reached."""
+
+from carobslip.directory._directory import Directory
+from carobslip.directory._records import (
+    InstanceList,
+    InstanceRecord,
+    PublishedState,
+    Role,
+)
+
+__all__ = [
+    'Directory',
+    'InstanceList',
+    'InstanceRecord',
+    'PublishedState',
+    'Role',
+]
--- /dev/null
+++ b/src/carobslip/directory/_records.py
@@ -0,0 +1,59 @@
+"""What the platform's list says about one instance."""
+
+import enum
+from typing import Annotated
+
+import msgspec
+
+from carobslip import identifiers
+
+_NAME_MAX_CHARS = 128
+
+_Address = Annotated[str, msgspec.Meta(max_length=_NAME_MAX_CHARS)]
+
+
+class Role(enum.Enum):
+    """Which command an instance runs."""
+
+    ENTRY = 'entry'
+    GUARD = 'guard'
+
+
+class PublishedState(enum.Enum):
+    """What the platform intends for an instance."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+class InstanceRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One instance of the system.
+
+    Attributes:
+        instance: Name from its settings.
+        role: Entry or guard.
+        data_centre: Where it runs.
+        http_address: Where it takes requests, as IP:PORT.
+        control_address: Where it takes control messages, as IP:PORT.
+        state: Whether it is meant to stay.
+        service: Service of a guard's target.
+        target: A guard's target.
+    """
+
+    instance: Annotated[
+        identifiers.InstanceId,
+        msgspec.Meta(min_length=1, max_length=_NAME_MAX_CHARS),
+    ]
+    role: Role
+    data_centre: identifiers.DataCentreId
+    http_address: _Address
+    control_address: _Address
+    state: PublishedState = PublishedState.LIVE
+    service: identifiers.ServiceId | None = None
+    target: identifiers.TargetId | None = None
+
+
+class InstanceList(msgspec.Struct, frozen=True, kw_only=True):
+    """The platform's lagging list of live and leaving instances."""
+
+    instances: tuple[InstanceRecord, ...]
--- /dev/null
+++ b/src/carobslip/fleet/_member.py
@@ -0,0 +1,335 @@
+"""One process as a member of the fleet."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from typing import Any, Final
+
+import msgspec
+
+from carobslip import (
+    clocks,
+    configuration,
+    control,
+    directory,
+    identifiers,
+    membership,
+    observability,
+)
+from carobslip.fleet import _pause_detector, _platform_port, _watch_duty
+
+_START_PEERS: Final = 3
+_START_PAUSE_S: Final = 0.2
+_RETRY_S: Final = 0.5
+_OFF_DUTY_PERIODS: Final = 20
+_RESTART_PAUSE_S: Final = 1.0
+
+
+class FleetTimes(msgspec.Struct, frozen=True, kw_only=True):
+    """Times of reading the platform.
+
+    Attributes:
+        poll_ms: Time between two reads of the instance list on duty.
+        watch_ms: How long a watch waits at the service.
+    """
+
+    poll_ms: int = 1000
+    watch_ms: int = 10_000
+
+
+class FleetMember:
+    """Holds the configuration, the list of instances and the membership.
+
+    The process that owns it registers handlers at :attr:`node`, then calls
+    :meth:`join`, and :meth:`leave` before it stops.
+
+    Args:
+        record: This instance.
+        transport: How control messages travel.
+        platform: What the platform publishes.
+        clock: Monotonic and wall time.
+        seeds: Control addresses of peers to ask when the list is missing.
+        generator: Chooses peers.
+        log: Takes events.
+        times: How often the platform is read.
+        probing: Times of the membership protocol.
+    """
+
+    def __init__(
+        self,
+        *,
+        record: directory.InstanceRecord,
+        transport: control.Transport,
+        platform: _platform_port.Platform,
+        clock: clocks.Clock,
+        seeds: Sequence[str],
+        generator: random.Random,
+        log: observability.EventLog,
+        times: FleetTimes | None = None,
+        probing: membership.ProberSettings | None = None,
+    ) -> None:
+        self.record = record
+        self.clock = clock
+        self.log = log
+        self._platform = platform
+        self._seeds = seeds
+        self._random = generator
+        self._times = times or FleetTimes()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._pushes: set[asyncio.Task[None]] = set()
+        self._platform_answered = False
+        self.on_configuration: Callable[[], None] = _do_nothing
+        self.on_members: Callable[[], None] = _do_nothing
+        incarnation = identifiers.Incarnation(clock.wall_ms() * 1000)
+        self.holder = configuration.Holder(
+            clock=clock,
+            on_adopted=self._note_adopted,
+        )
+        self.node = control.Node(
+            origin=control.Origin(
+                instance=record.instance,
+                incarnation=incarnation,
+                control_address=record.control_address,
+            ),
+            holder=self.holder,
+            transport=transport,
+        )
+        self.table = membership.MemberTable(
+            own=control.MemberUpdate(
+                record=record,
+                incarnation=incarnation,
+                counter=0,
+                state=control.MemberState.ALIVE,
+            ),
+            on_changed=self._note_member,
+        )
+        self.fleet = directory.Directory(is_usable=self.table.is_usable)
+        self.fleet.add(record)
+        self._prober = membership.Prober(
+            node=self.node,
+            table=self.table,
+            clock=clock,
+            settings=probing or membership.ProberSettings(),
+            generator=generator,
+        )
+        self.pause_detector = _pause_detector.PauseDetector(
+            clock=clock,
+            on_pause=self._note_pause,
+        )
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tells whether this process or the platform announced its stop."""
+        return self.table.own.state is control.MemberState.LEAVING
+
+    async def join(self) -> None:
+        """Takes the highest configuration within reach, then starts to probe.
+
+        Waits until some configuration has been found.
+        """
+        await self.node.start()
+        while not await self._gather_start_state():
+            await asyncio.sleep(_START_PAUSE_S)
+        self._run_for_ever(self._prober.run)
+        self._run_for_ever(self._watch_configuration)
+        self._run_for_ever(self._poll_list)
+        self._run_for_ever(self.pause_detector.run)
+        await self._prober.push()
+
+    async def announce_leaving(self) -> None:
+        """Tells the fleet that this process is about to stop."""
+        await self._prober.say_goodbye()
+
+    async def close(self) -> None:
+        """Stops all tasks and the control traffic."""
+        running = [*self._tasks, *self._pushes]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        await self.node.close()
+
+    async def refresh(self) -> None:
+        """Asks a few peers and the service for a higher configuration."""
+        peers = self._peer_addresses()
+        chosen = self._random.sample(peers, min(_START_PEERS, len(peers)))
+        await asyncio.gather(
+            self._read_service(wait_ms=0),
+            *(self.node.fetch_configuration(address) for address in chosen),
+        )
+
+    async def _gather_start_state(self) -> bool:
+        await self._read_list()
+        await self.refresh()
+        return self.holder.version > 0
+
+    def _peer_addresses(self) -> list[str]:
+        listed = {
+            record.control_address
+            for record in self.fleet.instances()
+            if self.table.is_usable(record.instance)
+        }
+        listed.update(self._seeds)
+        listed.discard(self.record.control_address)
+        return sorted(listed)
+
+    async def _watch_configuration(self) -> None:
+        while True:
+            wait_ms = self._times.watch_ms
+            if self._is_on_duty():
+                if not await self._read_service(wait_ms=wait_ms):
+                    await asyncio.sleep(_RETRY_S)
+                continue
+            off_duty_s = wait_ms * self._random.uniform(1, 3) / 1000
+            await self._sleep_off_duty(off_duty_s)
+
+    async def _sleep_off_duty(self, duration_s: float) -> None:
+        # Those on duty may have gone; whoever takes over must notice soon.
+        while duration_s > 0 and not self._is_on_duty():
+            await asyncio.sleep(_RETRY_S)
+            duration_s -= _RETRY_S
+        if duration_s <= 0:
+            await self._read_service(wait_ms=0)
+
+    def _is_on_duty(self) -> bool:
+        usable = [
+            record
+            for record in self.fleet.instances()
+            if self.table.is_usable(record.instance)
+        ]
+        return _watch_duty.is_on_duty(self.record, usable)
+
+    async def _read_service(self, *, wait_ms: int) -> bool:
+        try:
+            text = await self._platform.read_configuration(
+                self.holder.version,
+                wait_ms,
+            )
+        except _platform_port.PlatformUnavailable as fault:
+            self._note_platform(
+                observability.Event.CONFIGURATION_UNAVAILABLE,
+                str(fault),
+            )
+            return False
+        self._platform_answered = True
+        if text is not None:
+            return self._offer(text)
+        return True
+
+    def _offer(self, text: str) -> bool:
+        adoption = self.holder.offer(text, source='configuration service')
+        if adoption is configuration.Adoption.INVALID:
+            self.log.write(
+                observability.Event.CONFIGURATION_REFUSED,
+                fault=self.holder.last_fault,
+            )
+        # A service that answers at once with a document that is not higher
+        # is stale; asking again without a pause would flood it.
+        return adoption is configuration.Adoption.ADOPTED
+
+    async def _poll_list(self) -> None:
+        periods = 0
+        while True:
+            await asyncio.sleep(self._times.poll_ms / 1000)
+            periods += 1
+            if self._is_on_duty() or periods % _OFF_DUTY_PERIODS == 0:
+                await self._read_list()
+
+    async def _read_list(self) -> None:
+        try:
+            records = await self._platform.read_instances()
+        except _platform_port.PlatformUnavailable as fault:
+            self._note_platform(
+                observability.Event.LIST_UNAVAILABLE,
+                str(fault),
+            )
+            return
+        self._merge_list(records)
+
+    def _merge_list(
+        self,
+        records: Sequence[directory.InstanceRecord],
+    ) -> None:
+        listed = {record.instance for record in records}
+        spread = [
+            member.record
+            for member in self.table
+            if member.record.instance not in listed
+            and member.state is not control.MemberState.DEAD
+        ]
+        self.fleet.replace_published([*spread, *records])
+        for record in records:
+            self.table.seed(record)
+            self._merge_published_state(record)
+        for member in list(self.table):
+            gone = member.state is control.MemberState.DEAD
+            if gone and member.record.instance not in listed:
+                self.table.forget(member.record.instance)
+        self.on_members()
+
+    def _merge_published_state(
+        self,
+        record: directory.InstanceRecord,
+    ) -> None:
+        known = self.table.find(record.instance)
+        leaving = record.state is directory.PublishedState.LEAVING
+        if known is not None and leaving:
+            self.table.merge(
+                msgspec.structs.replace(
+                    known,
+                    state=control.MemberState.LEAVING,
+                ),
+            )
+
+    def _note_adopted(self, adopted: configuration.Configuration) -> None:
+        self.log.write(
+            observability.Event.CONFIGURATION_ADOPTED,
+            version=adopted.version,
+        )
+        self.on_configuration()
+        if self._tasks:
+            push = asyncio.ensure_future(self._prober.push())
+            self._pushes.add(push)
+            push.add_done_callback(self._pushes.discard)
+
+    def _note_member(self, update: control.MemberUpdate) -> None:
+        self.log.write(
+            observability.Event.MEMBER_CHANGED,
+            member=update.record.instance,
+            state=update.state.value,
+        )
+        self.fleet.add(update.record)
+        self.on_members()
+
+    def _note_platform(self, event: observability.Event, fault: str) -> None:
+        if self._platform_answered or not self._tasks:
+            self.log.write(event, fault=fault)
+        self._platform_answered = False
+
+    async def _note_pause(self, pause_ms: float) -> None:
+        self.log.write(
+            observability.Event.PAUSE_NOTICED,
+            pause_ms=round(pause_ms),
+        )
+        await self.refresh()
+
+    def _run_for_ever(
+        self,
+        work: Callable[[], Coroutine[Any, Any, None]],
+    ) -> None:
+        self._tasks.append(asyncio.ensure_future(self._restart(work)))
+
+    async def _restart(self, work: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            try:
+                await work()
+            except Exception as fault:
+                self.log.write(
+                    observability.Event.TASK_FAILED,
+                    task=work.__qualname__,
+                    fault=repr(fault),
+                )
+            await asyncio.sleep(_RESTART_PAUSE_S)
+
+
+def _do_nothing() -> None:
+    """Default of the callbacks."""
--- /dev/null
+++ b/src/carobslip/fleet/_pause_detector.py
@@ -0,0 +1,45 @@
+"""Notices that the process did not run for a while."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from carobslip import clocks
+
+_TICK_MS: Final = 100.0
+_PAUSE_MS: Final = 1000.0
+
+
+class PauseDetector:
+    """Ticks, and calls back when a tick comes much too late.
+
+    Args:
+        clock: Monotonic time, which goes on during a pause.
+        on_pause: Called with the length of the pause in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        on_pause: Callable[[float], Awaitable[None]],
+    ) -> None:
+        self._clock = clock
+        self._on_pause = on_pause
+        self._last_tick_ms = clock.now_ms()
+
+    def is_current(self) -> bool:
+        """Tells whether the process has been running without a pause.
+
+        False from the moment of waking up until the callback has ended.
+        """
+        return self._clock.now_ms() - self._last_tick_ms < _PAUSE_MS
+
+    async def run(self) -> None:
+        """Ticks for ever; one task."""
+        while True:
+            await asyncio.sleep(_TICK_MS / 1000)
+            gap_ms = self._clock.now_ms() - self._last_tick_ms
+            if gap_ms >= _PAUSE_MS:
+                await self._on_pause(gap_ms)
+            self._last_tick_ms = self._clock.now_ms()
--- /dev/null
+++ b/src/carobslip/guard/_checks.py
@@ -0,0 +1,7 @@
+"""The check that comes last, just before a target is called."""
+
+from collections.abc import Callable
+
+from carobslip import attempts, verdicts
+
+LastCheck = Callable[[attempts.Attempt], verdicts.Outcome | None]
--- /dev/null
+++ b/src/carobslip/idempotency/_claimant.py
@@ -0,0 +1,256 @@
+"""Gathers the votes that a guard needs before it runs a caller's key."""
+
+import asyncio
+import enum
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import msgspec
+
+from carobslip import clocks, configuration, control, identifiers
+from carobslip.idempotency import _record, _rendezvous, _voter
+
+_ASK_TIMEOUT_MS: Final = 500.0
+_PAUSE_S: Final = 0.05
+
+
+class Standing(enum.Enum):
+    """How a claim ended."""
+
+    WON = 'won'
+    HELD_ELSEWHERE = 'held-elsewhere'
+    IN_DOUBT = 'in-doubt'
+
+
+class ClaimResult(msgspec.Struct, frozen=True, kw_only=True):
+    """The end of a claim.
+
+    Attributes:
+        standing: Whether this guard may run the key.
+        holder: The target that holds the key, where another one does.
+        explanation: Why the claim failed; empty when it was won.
+    """
+
+    standing: Standing
+    holder: identifiers.TargetId | None = None
+    explanation: str = ''
+
+
+class _Tally(msgspec.Struct, frozen=True, kw_only=True):
+    """Votes of one pass over the members."""
+
+    granted: int
+    holders: tuple[control.ClaimId, ...]
+    silent: int
+
+
+class Claimant:
+    """Claims keys for one guard.
+
+    A round is opened, every member of the service is asked for its vote, and
+    the key is won with a majority of the member list. Where two guards claim
+    at once, the one that comes later in rendezvous order gives its round up.
+
+    Args:
+        target: The target behind this guard.
+        incarnation: Which start of this guard.
+        node: Sends the questions.
+        voter: Holds this guard's own vote.
+        clock: Measures the time allowed.
+        service: Returns the service's present member list and policy.
+        address_of: Returns a member's control address, None when unknown.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: identifiers.TargetId,
+        incarnation: identifiers.Incarnation,
+        node: control.Node,
+        voter: _voter.Voter,
+        clock: clocks.Clock,
+        service: Callable[
+            [],
+            tuple[configuration.Service, configuration.Policy],
+        ],
+        address_of: Callable[[identifiers.TargetId], str | None],
+    ) -> None:
+        self._target = target
+        self._incarnation = incarnation
+        self._node = node
+        self._voter = voter
+        self._clock = clock
+        self._service = service
+        self._address_of = address_of
+
+    async def claim(
+        self,
+        key: control.KeyRef,
+        record: _record.KeyRecord,
+    ) -> ClaimResult:
+        """Tries to win a key; leaves the record HELD or IDLE.
+
+        Args:
+            key: The caller's key.
+            record: This guard's memory of it, in state IDLE.
+        """
+        service, policy = self._service()
+        if self._target not in service.targets:
+            return _in_doubt('this target is not in the list of members')
+        if not self._voter.remembers(key):
+            return _in_doubt('the guard started after the key was made')
+        mine = self._open_round(record)
+        deadline_ms = self._clock.now_ms() + policy.claim_ms
+        result = await self._gather(key, record, mine, deadline_ms)
+        if _is_open(record, mine):
+            won = result.standing is Standing.WON
+            state = _record.KeyState.HELD if won else _record.KeyState.IDLE
+            record.state = state
+            return result
+        return _in_doubt('the key was settled while votes were gathered')
+
+    def _open_round(self, record: _record.KeyRecord) -> control.ClaimId:
+        record.round += 1
+        record.state = _record.KeyState.CLAIMING
+        return control.ClaimId(
+            target=self._target,
+            incarnation=self._incarnation,
+            round=record.round,
+        )
+
+    async def _gather(
+        self,
+        key: control.KeyRef,
+        record: _record.KeyRecord,
+        mine: control.ClaimId,
+        deadline_ms: float,
+    ) -> ClaimResult:
+        abandoned: set[control.ClaimId] = set()
+        while _is_open(record, mine):
+            members = self._service()[0].targets
+            tally = await self._ask_members(key, mine, members, abandoned)
+            if tally.granted > len(members) // 2:
+                return ClaimResult(standing=Standing.WON)
+            rival = await self._judge_rivals(key, tally.holders, abandoned)
+            if rival is not None:
+                return ClaimResult(
+                    standing=Standing.HELD_ELSEWHERE,
+                    holder=rival,
+                    explanation=f'the key is held at {rival}',
+                )
+            if self._clock.now_ms() >= deadline_ms:
+                return _in_doubt(
+                    f'{tally.granted} of {len(members)} members voted for '
+                    f'this target, {tally.silent} gave no answer',
+                )
+            await asyncio.sleep(_PAUSE_S)
+        return _in_doubt('the key was settled while votes were gathered')
+
+    async def _ask_members(
+        self,
+        key: control.KeyRef,
+        mine: control.ClaimId,
+        members: Sequence[identifiers.TargetId],
+        abandoned: set[control.ClaimId],
+    ) -> _Tally:
+        request = control.VoteRequest(
+            key=key,
+            claim=mine,
+            abandoned=tuple(sorted(abandoned)),
+            view_digest=_rendezvous.view_digest(members),
+        )
+        answers = await asyncio.gather(
+            *(self._ask_member(member, request) for member in members),
+        )
+        known = [answer for answer in answers if answer is not None]
+        granted = [
+            answer
+            for answer in known
+            if answer.state is control.VoteState.GRANTED
+        ]
+        holders = {
+            answer.holder
+            for answer in known
+            if answer.holder not in {None, mine}
+        }
+        return _Tally(
+            granted=len(granted),
+            holders=tuple(sorted(holder for holder in holders if holder)),
+            silent=len(answers) - len(known),
+        )
+
+    async def _ask_member(
+        self,
+        member: identifiers.TargetId,
+        request: control.VoteRequest,
+    ) -> control.VoteAnswer | None:
+        if member == self._target:
+            return self._voter.vote(request)
+        address = self._address_of(member)
+        if address is None:
+            return None
+        try:
+            return await self._node.ask(
+                address,
+                request,
+                answer=control.VoteAnswer,
+                timeout_ms=_ASK_TIMEOUT_MS,
+            )
+        except control.PeerUnreachable:
+            return None
+
+    async def _judge_rivals(
+        self,
+        key: control.KeyRef,
+        rivals: Sequence[control.ClaimId],
+        abandoned: set[control.ClaimId],
+    ) -> identifiers.TargetId | None:
+        """Returns the rival to give way to; notes the rounds given up."""
+        for rival in rivals:
+            standing = await self._ask_rival(key, rival)
+            if standing is control.RoundStanding.ABANDONED:
+                abandoned.add(rival)
+            elif standing is control.RoundStanding.WON or self._goes_before_us(
+                key, rival.target
+            ):
+                return rival.target
+        return None
+
+    async def _ask_rival(
+        self,
+        key: control.KeyRef,
+        rival: control.ClaimId,
+    ) -> control.RoundStanding:
+        query = control.RoundQuery(key=key, claim=rival)
+        if rival.target == self._target:
+            return self._voter.answer_round(query).standing
+        address = self._address_of(rival.target)
+        if address is None:
+            return control.RoundStanding.OPEN
+        try:
+            answer = await self._node.ask(
+                address,
+                query,
+                answer=control.RoundState,
+                timeout_ms=_ASK_TIMEOUT_MS,
+            )
+        except control.PeerUnreachable:
+            return control.RoundStanding.OPEN
+        return answer.standing
+
+    def _goes_before_us(
+        self,
+        key: control.KeyRef,
+        rival: identifiers.TargetId,
+    ) -> bool:
+        order = _rendezvous.order_targets(key, {rival, self._target})
+        return order[0] == rival
+
+
+def _is_open(record: _record.KeyRecord, mine: control.ClaimId) -> bool:
+    same_round = record.round == mine.round
+    return same_round and record.state is _record.KeyState.CLAIMING
+
+
+def _in_doubt(explanation: str) -> ClaimResult:
+    return ClaimResult(standing=Standing.IN_DOUBT, explanation=explanation)
--- /dev/null
+++ b/src/carobslip/idempotency/_rendezvous.py
@@ -0,0 +1,24 @@
+"""Rendezvous hashing: the same order of targets at every process."""
+
+from collections.abc import Iterable, Sequence
+
+from carobslip import control, hashing, identifiers
+
+
+def order_targets(
+    key: control.KeyRef,
+    targets: Iterable[identifiers.TargetId],
+) -> Sequence[identifiers.TargetId]:
+    """Returns the targets in the order in which they may claim ``key``.
+
+    Removing a target leaves the order of the others unchanged.
+    """
+    return sorted(
+        targets,
+        key=lambda target: hashing.digest_names(key.team, key.key, target),
+    )
+
+
+def view_digest(targets: Iterable[identifiers.TargetId]) -> int:
+    """Returns a digest of a member list, independent of its order."""
+    return hashing.digest_names(*sorted(targets))
--- /dev/null
+++ b/src/carobslip/idempotency/_witness.py
@@ -0,0 +1,72 @@
+"""Whose memory reaches back to the creation of a key."""
+
+import enum
+
+import msgspec
+
+from carobslip import configuration, control, identifiers
+
+
+class KeyAge(enum.Enum):
+    """How a key's time of creation relates to the horizon."""
+
+    CURRENT = 'current'
+    EXPIRED = 'expired'
+    IN_FUTURE = 'in-future'
+
+
+def judge_key_age(
+    key: str,
+    *,
+    wall_ms: int,
+    policy: configuration.Policy,
+) -> KeyAge:
+    """Judges the time that a key carries; a key without one is current.
+
+    Args:
+        key: The caller's key.
+        wall_ms: Unix time now, in milliseconds.
+        policy: Gives the horizon and the bound on clock errors.
+    """
+    created_ms = identifiers.created_at_ms(key)
+    if created_ms is None:
+        return KeyAge.CURRENT
+    if created_ms > wall_ms + policy.clock_error_ms:
+        return KeyAge.IN_FUTURE
+    if created_ms < wall_ms - policy.horizon_ms:
+        return KeyAge.EXPIRED
+    return KeyAge.CURRENT
+
+
+class Witness(msgspec.Struct, frozen=True, kw_only=True):
+    """Decides whether a guard's memory covers the whole life of a key.
+
+    Attributes:
+        started_wall_ms: When the guard's memory began, Unix time.
+        keys_valid_from_ms: Operators state that no key is older than this.
+    """
+
+    started_wall_ms: int
+    keys_valid_from_ms: int | None
+
+    def covers(
+        self,
+        key: control.KeyRef,
+        *,
+        wall_ms: int,
+        policy: configuration.Policy,
+    ) -> bool:
+        """Tells whether the guard would know of any earlier run of ``key``.
+
+        Args:
+            key: The key in question.
+            wall_ms: Unix time now, in milliseconds.
+            policy: Gives the horizon and the bound on clock errors.
+        """
+        not_before_ms = wall_ms - policy.horizon_ms
+        created_ms = identifiers.created_at_ms(key.key)
+        if created_ms is not None:
+            not_before_ms = max(not_before_ms, created_ms)
+        if self.keys_valid_from_ms is not None:
+            not_before_ms = max(not_before_ms, self.keys_valid_from_ms)
+        return self.started_wall_ms + policy.clock_error_ms < not_before_ms
--- /dev/null
+++ b/src/carobslip/identifiers/__init__.py
@@ -0,0 +1,33 @@
+"""Typed names of the things that messages and settings refer to."""
+
+from carobslip.identifiers._names import (
+    DataCentreId,
+    IdempotencyKey,
+    Incarnation,
+    InstanceId,
+    ModelId,
+    RequestId,
+    ServiceId,
+    TargetId,
+    TeamId,
+)
+from carobslip.identifiers._time_ordered import (
+    created_at_ms,
+    new_key,
+    new_request_id,
+)
+
+__all__ = [
+    'DataCentreId',
+    'IdempotencyKey',
+    'Incarnation',
+    'InstanceId',
+    'ModelId',
+    'RequestId',
+    'ServiceId',
+    'TargetId',
+    'TeamId',
+    'created_at_ms',
+    'new_key',
+    'new_request_id',
+]
--- /dev/null
+++ b/src/carobslip/identifiers/_names.py
@@ -0,0 +1,22 @@
+"""Distinct types for identifiers that share a representation."""
+
+from typing import NewType
+
+#: One process of the system, named in its settings.
+InstanceId = NewType('InstanceId', str)
+#: One start of one process: Unix time of the start, in microseconds.
+Incarnation = NewType('Incarnation', int)
+#: A failure domain that operators take out and bring back as a whole.
+DataCentreId = NewType('DataCentreId', str)
+#: A customer whose requests share limits and weight.
+TeamId = NewType('TeamId', str)
+#: One back end, stable over replacements of its process.
+TargetId = NewType('TargetId', str)
+#: A group of targets that serve the same kind of request.
+ServiceId = NewType('ServiceId', str)
+#: A model that callers name in a draft.
+ModelId = NewType('ModelId', str)
+#: One request as a caller sees it.
+RequestId = NewType('RequestId', str)
+#: A caller's name for work that may run once, unique within its team.
+IdempotencyKey = NewType('IdempotencyKey', str)
--- /dev/null
+++ b/src/carobslip/membership/_prober.py
@@ -0,0 +1,235 @@
+"""Probes peers, one a period, whatever the size of the fleet."""
+
+import asyncio
+import random
+from typing import Final
+
+import msgspec
+
+from carobslip import clocks, control, directory, identifiers
+from carobslip.membership import _table
+
+#: Every so many periods a member believed dead is probed, to heal splits.
+_REVIVAL_PERIODS: Final = 5
+#: Peers told at once about a new configuration.
+_PUSH_PEERS: Final = 3
+
+
+class ProberSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Times of the probing.
+
+    Attributes:
+        period_ms: Time between two probes.
+        timeout_ms: Time allowed for an answer.
+        helpers: Peers that probe on our behalf before a suspicion.
+        suspicion_ms: Time a suspect has to prove itself alive.
+    """
+
+    period_ms: int = 500
+    timeout_ms: int = 200
+    helpers: int = 2
+    suspicion_ms: int = 2000
+
+
+class Prober:
+    """Finds out which members are alive.
+
+    A member that answers neither a direct nor an indirect probe is suspected,
+    and counts as dead when it has not refuted that in time.
+
+    Args:
+        node: Control traffic.
+        table: What is believed.
+        clock: Monotonic time.
+        settings: Times of the probing.
+        generator: Chooses peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: control.Node,
+        table: _table.MemberTable,
+        clock: clocks.Clock,
+        settings: ProberSettings,
+        generator: random.Random,
+    ) -> None:
+        self._node = node
+        self.table = table
+        self._clock = clock
+        self._settings = settings
+        self._random = generator
+        self._suspected_ms: dict[identifiers.InstanceId, float] = {}
+        self._round: list[directory.InstanceRecord] = []
+        self._periods = 0
+        node.on(control.Probe, self._on_probe)
+        node.on(control.ProbeRequest, self._on_probe_request)
+
+    async def run(self) -> None:
+        """Probes for ever; one task."""
+        while True:
+            await asyncio.sleep(self._settings.period_ms / 1000)
+            self._expire_suspects()
+            peer = self._next_peer()
+            if peer is not None:
+                await self._probe_member(peer)
+
+    async def push(self) -> None:
+        """Contacts a few peers at once, so that they see our version."""
+        peers = self._alive_peers()
+        chosen = self._random.sample(peers, min(_PUSH_PEERS, len(peers)))
+        await asyncio.gather(
+            *(self._probe(peer.control_address) for peer in chosen),
+        )
+
+    async def say_goodbye(self) -> None:
+        """Tells a few peers that this process is about to stop."""
+        self.table.announce_leaving()
+        await self.push()
+
+    def _next_peer(self) -> directory.InstanceRecord | None:
+        self._periods += 1
+        if self._periods % _REVIVAL_PERIODS == 0:
+            gone = self._peers_in(control.MemberState.DEAD)
+            if gone:
+                return self._random.choice(gone)
+        if not self._round:
+            self._round = self._alive_peers()
+            self._random.shuffle(self._round)
+        return self._round.pop() if self._round else None
+
+    def _alive_peers(self) -> list[directory.InstanceRecord]:
+        return [
+            *self._peers_in(control.MemberState.ALIVE),
+            *self._peers_in(control.MemberState.SUSPECT),
+        ]
+
+    def _peers_in(
+        self,
+        state: control.MemberState,
+    ) -> list[directory.InstanceRecord]:
+        own = self.table.own.record.instance
+        return [
+            member.record
+            for member in self.table
+            if member.state is state and member.record.instance != own
+        ]
+
+    async def _probe_member(self, peer: directory.InstanceRecord) -> None:
+        if await self._probe(peer.control_address):
+            self._suspected_ms.pop(peer.instance, None)
+            return
+        if await self._probe_indirectly(peer):
+            return
+        self._suspect(peer)
+
+    async def _probe(self, address: str) -> bool:
+        return await self._exchange(
+            address,
+            control.Probe(news=self.table.take_news()),
+            self._settings.timeout_ms,
+        )
+
+    async def _probe_indirectly(self, peer: directory.InstanceRecord) -> bool:
+        others = [
+            record
+            for record in self._alive_peers()
+            if record.instance != peer.instance
+        ]
+        helpers = self._random.sample(
+            others,
+            min(self._settings.helpers, len(others)),
+        )
+        answers = await asyncio.gather(
+            *(
+                self._exchange(
+                    helper.control_address,
+                    control.ProbeRequest(
+                        address=peer.control_address,
+                        news=self.table.take_news(),
+                    ),
+                    2 * self._settings.timeout_ms,
+                )
+                for helper in helpers
+            ),
+        )
+        return any(answers)
+
+    async def _exchange(
+        self,
+        address: str,
+        request: control.Probe | control.ProbeRequest,
+        timeout_ms: float,
+    ) -> bool:
+        try:
+            answer = await self._node.ask(
+                address,
+                request,
+                answer=control.ProbeAcknowledged,
+                timeout_ms=timeout_ms,
+            )
+        except control.PeerUnreachable:
+            return False
+        self._merge_all(answer.news)
+        return True
+
+    def _suspect(self, peer: directory.InstanceRecord) -> None:
+        known = self.table.find(peer.instance)
+        if known is None or known.state is not control.MemberState.ALIVE:
+            return
+        self._suspected_ms[peer.instance] = self._clock.now_ms()
+        self.table.merge(
+            msgspec.structs.replace(known, state=control.MemberState.SUSPECT),
+        )
+
+    def _expire_suspects(self) -> None:
+        now_ms = self._clock.now_ms()
+        for member in list(self.table):
+            if member.state is not control.MemberState.SUSPECT:
+                self._suspected_ms.pop(member.record.instance, None)
+                continue
+            since_ms = self._suspected_ms.setdefault(
+                member.record.instance,
+                now_ms,
+            )
+            if now_ms - since_ms >= self._settings.suspicion_ms:
+                self.table.merge(
+                    msgspec.structs.replace(
+                        member,
+                        state=control.MemberState.DEAD,
+                    ),
+                )
+
+    def _merge_all(self, news: tuple[control.MemberUpdate, ...]) -> None:
+        for update in news:
+            self.table.merge(update)
+
+    async def _on_probe(
+        self,
+        request: control.Probe,
+        origin: control.Origin,
+    ) -> control.ProbeAcknowledged:
+        self._merge_all(request.news)
+        return control.ProbeAcknowledged(news=self._answer_news(origin))
+
+    async def _on_probe_request(
+        self,
+        request: control.ProbeRequest,
+        origin: control.Origin,
+    ) -> control.ProbeAcknowledged | control.ProbeFailed:
+        self._merge_all(request.news)
+        reached = await self._probe(request.address)
+        news = self.table.take_news()
+        if reached:
+            return control.ProbeAcknowledged(news=news)
+        return control.ProbeFailed(news=news)
+
+    def _answer_news(
+        self,
+        origin: control.Origin,
+    ) -> tuple[control.MemberUpdate, ...]:
+        # A sender that is believed gone is told so, and can refute it.
+        belief = self.table.find(origin.instance)
+        alive = (control.MemberState.ALIVE, control.MemberState.LEAVING)
+        about_sender = (belief,) if belief and belief.state not in alive else ()
+        return (*about_sender, self.table.own, *self.table.take_news())
--- /dev/null
+++ b/src/carobslip/membership/_table.py
@@ -0,0 +1,146 @@
+"""What a process believes about the others, merged by precedence."""
+
+import collections
+import math
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import msgspec
+
+from carobslip import control, directory, identifiers
+
+#: News items in one message.
+NEWS_MAX: Final = 8
+
+_PRECEDENCE: Final = (
+    control.MemberState.ALIVE,
+    control.MemberState.SUSPECT,
+    control.MemberState.LEAVING,
+    control.MemberState.DEAD,
+)
+
+
+class MemberTable:
+    """Members by name, and the news that still has to be spread.
+
+    Later starts of a process go before earlier ones, then higher counters,
+    then the worse state. Only a member itself raises its counter.
+
+    Args:
+        own: News about this process, ALIVE with counter 0.
+        on_changed: Called with each update that changed the table.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: control.MemberUpdate,
+        on_changed: Callable[[control.MemberUpdate], None] | None = None,
+    ) -> None:
+        self.own = own
+        self._on_changed = on_changed
+        self._members: dict[identifiers.InstanceId, control.MemberUpdate] = {}
+        self._to_spread: collections.OrderedDict[
+            identifiers.InstanceId,
+            int,
+        ] = collections.OrderedDict()
+        self._members[own.record.instance] = own
+        self._queue(own)
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> Iterator[control.MemberUpdate]:
+        return iter(self._members.values())
+
+    def find(
+        self,
+        instance: identifiers.InstanceId,
+    ) -> control.MemberUpdate | None:
+        """Returns what is believed about a member."""
+        return self._members.get(instance)
+
+    def is_usable(self, instance: identifiers.InstanceId) -> bool:
+        """Tells whether a member may be given work; unknown ones may."""
+        known = self._members.get(instance)
+        usable = (control.MemberState.ALIVE, control.MemberState.SUSPECT)
+        return known is None or known.state in usable
+
+    def seed(self, record: directory.InstanceRecord) -> None:
+        """Adds a member that the platform's list names, if it is unknown."""
+        if record.instance not in self._members:
+            self._members[record.instance] = control.MemberUpdate(
+                record=record,
+                incarnation=identifiers.Incarnation(0),
+                counter=0,
+                state=control.MemberState.ALIVE,
+            )
+
+    def forget(self, instance: identifiers.InstanceId) -> None:
+        """Removes a member that is dead and no longer listed."""
+        self._members.pop(instance, None)
+        self._to_spread.pop(instance, None)
+
+    def merge(self, update: control.MemberUpdate) -> bool:
+        """Takes news into account; tells whether the table changed."""
+        if update.record.instance == self.own.record.instance:
+            return self._refute(update)
+        known = self._members.get(update.record.instance)
+        if known is not None and _precedence(update) <= _precedence(known):
+            return False
+        self._members[update.record.instance] = update
+        self._queue(update)
+        if self._on_changed is not None:
+            self._on_changed(update)
+        return True
+
+    def announce_leaving(self) -> None:
+        """Lets the others know that this process is about to stop."""
+        self._renew_own(self.own.counter + 1, control.MemberState.LEAVING)
+
+    def take_news(self) -> tuple[control.MemberUpdate, ...]:
+        """Returns news for one message, the least spread first."""
+        names = sorted(
+            self._to_spread,
+            key=lambda name: -self._to_spread[name],
+        )[:NEWS_MAX]
+        for name in names:
+            self._to_spread[name] -= 1
+            if self._to_spread[name] <= 0:
+                self._to_spread.pop(name)
+        return tuple(self._members[name] for name in names)
+
+    def _refute(self, update: control.MemberUpdate) -> bool:
+        # Somebody believes that this process is gone: a higher counter
+        # overrides that belief everywhere.
+        same_start = update.incarnation == self.own.incarnation
+        if not same_start or _precedence(update) <= _precedence(self.own):
+            return False
+        if update.state is control.MemberState.LEAVING:
+            self._renew_own(update.counter, update.state)
+        else:
+            self._renew_own(update.counter + 1, self.own.state)
+        return True
+
+    def _renew_own(self, counter: int, state: control.MemberState) -> None:
+        self.own = msgspec.structs.replace(
+            self.own,
+            counter=counter,
+            state=state,
+        )
+        self._members[self.own.record.instance] = self.own
+        self._queue(self.own)
+
+    def _queue(self, update: control.MemberUpdate) -> None:
+        spread_times = 3 * math.ceil(math.log2(len(self._members) + 1))
+        self._to_spread[update.record.instance] = spread_times
+
+
+def _precedence(
+    update: control.MemberUpdate,
+) -> tuple[identifiers.Incarnation, int, int]:
+    return (
+        update.incarnation,
+        update.counter,
+        _PRECEDENCE.index(update.state),
+    )
--- /dev/null
+++ b/src/carobslip/observability/_events.py
@@ -0,0 +1,94 @@
+"""The catalogue of log events; docs/EVENTS.md is checked against it."""
+
+import enum
+
+
+class Event(enum.Enum):
+    """A numbered event: code, name and meaning.
+
+    Numbers are never used again for another meaning. 1xx concerns processes,
+    2xx the configuration, 3xx membership, 4xx requests, 5xx targets.
+    """
+
+    PROCESS_STARTED = (101, 'process-started', 'The process serves.')
+    DRAIN_STARTED = (
+        102,
+        'drain-started',
+        'A planned stop began; no new work is accepted.',
+    )
+    DRAIN_ENDED = (103, 'drain-ended', 'Everything in progress has ended.')
+    DRAIN_CUT_SHORT = (
+        104,
+        'drain-cut-short',
+        'The drain deadline passed with requests still in progress.',
+    )
+    PAUSE_NOTICED = (
+        105,
+        'pause-noticed',
+        'The process did not run for a while; what it believed is checked '
+        'before new work starts.',
+    )
+    TASK_FAILED = (
+        106,
+        'task-failed',
+        'A background task raised an error and was started again.',
+    )
+    CONFIGURATION_ADOPTED = (
+        201,
+        'configuration-adopted',
+        'A higher version is in force here.',
+    )
+    CONFIGURATION_REFUSED = (
+        202,
+        'configuration-refused',
+        'An offered document is not valid; the held one stays in force.',
+    )
+    CONFIGURATION_UNAVAILABLE = (
+        203,
+        'configuration-unavailable',
+        'The configuration service gave no answer.',
+    )
+    LIST_UNAVAILABLE = (
+        204,
+        'list-unavailable',
+        'The instance list could not be read; the last one is used.',
+    )
+    MEMBER_CHANGED = (
+        301,
+        'member-changed',
+        'What is believed about a member has changed.',
+    )
+    REQUEST_IN_DOUBT = (
+        401,
+        'request-in-doubt',
+        'A caller was told that its request may have run.',
+    )
+    REQUEST_BROKEN = (
+        402,
+        'request-broken',
+        'A reply broke off after it had begun; the caller can see that.',
+    )
+    REQUEST_FAILED = (
+        403,
+        'request-failed',
+        'A request met an internal error.',
+    )
+    TARGET_OUT = (501, 'target-out', 'The target gets no new work.')
+    TARGET_IN = (502, 'target-in', 'The target gets work again, as a cold one.')
+    MAP_SWITCHED = (503, 'map-switched', 'A rank runs a new expert map.')
+    MAP_ABORTED = (504, 'map-aborted', 'A proposed expert map was given up.')
+
+    @property
+    def code(self) -> int:
+        """Number of the event."""
+        return int(self.value[0])
+
+    @property
+    def event_name(self) -> str:
+        """Name of the event in logs."""
+        return str(self.value[1])
+
+    @property
+    def meaning(self) -> str:
+        """What the event tells an operator."""
+        return str(self.value[2])
--- /dev/null
+++ b/src/carobslip/observability/_log.py
@@ -0,0 +1,52 @@
+"""Structured logs on standard error."""
+
+import enum
+import sys
+from typing import Any
+
+import structlog
+
+from carobslip.observability import _events
+
+
+class LogFormat(enum.Enum):
+    """How log lines are written."""
+
+    JSON = 'json'
+    CONSOLE = 'console'
+
+
+class EventLog:
+    """Writes numbered events with their fields.
+
+    Args:
+        fields: Written with every event of this process.
+    """
+
+    def __init__(self, **fields: Any) -> None:
+        self._logger = structlog.get_logger().bind(**fields)
+
+    def write(self, event: _events.Event, **fields: Any) -> None:
+        """Writes one event.
+
+        Args:
+            event: Which one.
+            fields: What happened, with units in the names.
+        """
+        self._logger.info(event.event_name, code=event.code, **fields)
+
+
+def configure_logging(log_format: LogFormat) -> None:
+    """Sets the format of all log lines of the process."""
+    renderer: Any = structlog.processors.JSONRenderer()
+    if log_format is LogFormat.CONSOLE:
+        renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    structlog.configure(
+        processors=[
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
--- /dev/null
+++ b/src/carobslip/processes/_assembly.py
@@ -0,0 +1,84 @@
+"""Parts that both long-running commands share."""
+
+import random
+
+import aiohttp
+from aiohttp import web
+
+from carobslip import (
+    clocks,
+    directory,
+    fleet,
+    observability,
+    settings,
+)
+from carobslip.adapters import control_nng, guard_client, platform_client
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits a checked ``IP:PORT``."""
+    host, _separator, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def new_metrics(
+    own: settings.EntrySettings | settings.GuardSettings,
+) -> observability.Metrics:
+    """Returns where the process's metrics go."""
+    if own.statsd is None:
+        return observability.NoMetrics()
+    host, port = split_address(own.statsd.address)
+    return observability.StatsdMetrics(
+        host=host,
+        port=port,
+        prefix=f'carobslip.{own.data_centre}.{own.instance}',
+    )
+
+
+def new_member(
+    own: settings.EntrySettings | settings.GuardSettings,
+    record: directory.InstanceRecord,
+    clock: clocks.Clock,
+    session: aiohttp.ClientSession,
+    log: observability.EventLog,
+) -> fleet.FleetMember:
+    """Returns the process's part in the fleet, on real transports."""
+    control_nng.limit_threads()
+    return fleet.FleetMember(
+        record=record,
+        transport=control_nng.NngTransport(),
+        platform=platform_client.PlatformClient(
+            addresses=own.platform,
+            session=session,
+        ),
+        clock=clock,
+        seeds=own.seeds,
+        generator=random.Random(),
+        log=log,
+        times=fleet.FleetTimes(
+            poll_ms=own.platform.poll_ms,
+            watch_ms=own.platform.watch_ms,
+        ),
+    )
+
+
+async def serve_http(
+    application: web.Application,
+    address: str,
+) -> web.AppRunner:
+    """Starts an HTTP server; a caller that goes away cancels its handler."""
+    runner = web.AppRunner(
+        application,
+        handler_cancellation=True,
+        access_log=None,
+        shutdown_timeout=1,
+    )
+    await runner.setup()
+    host, port = split_address(address)
+    await web.TCPSite(runner, host, port, backlog=1024).start()
+    return runner
+
+
+def new_client_session() -> aiohttp.ClientSession:
+    """Returns a client session for the process's own calls."""
+    return guard_client.new_session()
--- /dev/null
+++ b/src/carobslip/processes/_drain.py
@@ -0,0 +1,33 @@
+"""Waits for what is in progress before a planned stop."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from carobslip import clocks, observability
+
+_LOOK_S: Final = 0.02
+
+
+async def wait_until_idle(
+    is_idle: Callable[[], bool],
+    *,
+    drain_ms: int,
+    clock: clocks.Clock,
+    log: observability.EventLog,
+) -> None:
+    """Waits until nothing is in progress, at most ``drain_ms``.
+
+    Args:
+        is_idle: Tells whether nothing is in progress.
+        drain_ms: The operators' bound.
+        clock: Monotonic time.
+        log: Takes the event.
+    """
+    deadline_ms = clock.now_ms() + drain_ms
+    while not is_idle():
+        if clock.now_ms() >= deadline_ms:
+            log.write(observability.Event.DRAIN_CUT_SHORT, drain_ms=drain_ms)
+            return
+        await asyncio.sleep(_LOOK_S)
+    log.write(observability.Event.DRAIN_ENDED)
