--- a/src/carobslip/entry/_runner.py
+++ b/src/carobslip/entry/_runner.py
@@ -31,6 +31,11 @@
 _Reason = verdicts.Reason
 _Verdict = verdicts.Verdict
 
+#: The request itself is at fault; every guard would refuse it.
+_REQUEST_FAULTS: Final = frozenset(
+    (_Reason.KEY_CONFLICT, _Reason.KEY_IN_FUTURE, _Reason.BAD_REQUEST),
+)
+
 
 class _Sent(msgspec.Struct, frozen=True, kw_only=True):
     """An attempt whose end is not known.
@@ -182,6 +187,8 @@
     ) -> bool:
         if progress.begun or outcome.verdict is _Verdict.RAN:
             return True
+        if outcome.reason in _REQUEST_FAULTS:
+            return True
         if outcome.verdict is _Verdict.MAY_HAVE_RUN:
             return not request.repeatable
         # A guard that holds a caller's key keeps it: no other guard could
@@ -526,10 +533,9 @@
         outcome: How the last attempt ended.
         key_is_callers: The key may have been used by earlier requests.
     """
-    certain = {_Reason.KEY_CONFLICT, _Reason.KEY_IN_FUTURE}
     if outcome.verdict is not _Verdict.NOT_RUN or not key_is_callers:
         return outcome
-    if outcome.key_proof or outcome.reason in certain:
+    if outcome.key_proof or outcome.reason in _REQUEST_FAULTS:
         return outcome
     return msgspec.structs.replace(outcome, verdict=_Verdict.MAY_HAVE_RUN)
 
--- /dev/null
+++ b/tests/fakes/host.py
@@ -0,0 +1,138 @@
+"""Simulated processes that can be killed, and frozen like by SIGSTOP."""
+
+import asyncio
+import collections.abc
+import contextvars
+import functools
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import looptime
+
+current: contextvars.ContextVar['Host | None'] = contextvars.ContextVar(
+    'current',
+    default=None,
+)
+
+
+class Host:
+    """One simulated process; its tasks stop while it is frozen."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.dead = False
+        self.frozen = False
+        self.thawed: list[asyncio.Future[None]] = []
+        self.on_death: list[Callable[[], None]] = []
+
+    def freeze(self) -> None:
+        self.frozen = True
+
+    def thaw(self) -> None:
+        self.frozen = False
+        waiting, self.thawed = self.thawed, []
+        for waiter in waiting:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def kill(self) -> None:
+        """Stops all tasks where they are; nothing is cleaned up."""
+        self.dead = True
+        self.frozen = True
+        callbacks, self.on_death = self.on_death, []
+        for callback in callbacks:
+            callback()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Starts a task that belongs to this process."""
+        token = current.set(self)
+        try:
+            return asyncio.ensure_future(work)
+        finally:
+            current.reset(token)
+
+
+class _Freezable(collections.abc.Coroutine):
+    """Passes every step of a task on, unless its process is frozen."""
+
+    def __init__(self, work: Coroutine[Any, Any, Any], host: Host) -> None:
+        self._work = work
+        self._host = host
+        self._held: tuple[str, Any] | None = None
+
+    def send(self, step: Any) -> Any:
+        if self._host.frozen:
+            self._held = self._held or ('send', step)
+            return self._hold()
+        held, self._held = self._held, None
+        if held is not None and held[0] == 'throw':
+            return self._work.throw(held[1])
+        return self._work.send(step)
+
+    def throw(self, kind: Any, value: Any = None, traceback: Any = None) -> Any:
+        fault = value if value is not None else kind
+        if self._host.dead:
+            raise fault if isinstance(fault, BaseException) else fault()
+        if self._host.frozen:
+            self._held = ('throw', fault)
+            return self._hold()
+        return self._work.throw(fault)
+
+    def close(self) -> None:
+        if not self._host.dead:
+            self._work.close()
+
+    def __await__(self) -> Any:
+        return self
+
+    def _hold(self) -> asyncio.Future[None]:
+        waiter = asyncio.get_running_loop().create_future()
+        waiter._asyncio_future_blocking = True
+        self._host.thawed.append(waiter)
+        return waiter
+
+
+def _new_task(
+    loop: asyncio.AbstractEventLoop,
+    work: Coroutine[Any, Any, Any],
+    context: contextvars.Context | None = None,
+) -> asyncio.Task[Any]:
+    host = current.get() if context is None else context.get(current)
+    if host is not None:
+        work = _Freezable(work, host)
+    return asyncio.Task(work, loop=loop, context=context)
+
+
+def run_virtual(work: Coroutine[Any, Any, Any], *, seed: int = 0) -> Any:
+    """Runs a coroutine on a loop whose time is virtual."""
+    random.seed(seed)
+    loop = looptime.new_event_loop(start=1000.0, noop_cycles=0)
+    loop.set_task_factory(_new_task)
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        _abandon(loop)
+
+
+def virtual(test: Callable[..., Coroutine[Any, Any, Any]]) -> Any:
+    """Decorates an async test so that it runs on virtual time."""
+
+    @functools.wraps(test)
+    def run(**arguments: Any) -> None:
+        run_virtual(test(**arguments))
+
+    return run
+
+
+def _abandon(loop: asyncio.AbstractEventLoop) -> None:
+    remaining = asyncio.all_tasks(loop)
+    for task in remaining:
+        task.cancel()
+    loop.set_exception_handler(lambda _loop, _context: None)
+    loop.run_until_complete(
+        asyncio.wait(remaining, timeout=60) if remaining else asyncio.sleep(0),
+    )
+    asyncio.set_event_loop(None)
+    loop.close()
