--- a/src/carobslip/attempts/_frame_reader.py
+++ b/src/carobslip/attempts/_frame_reader.py
@@ -66,13 +66,19 @@
         if frame.request_id != self._request_id:
             raise FrameSequenceBroken(f'answers request {frame.request_id}')
         if isinstance(frame, _frames.Head):
-            if frame.incarnation != self._incarnation:
-                raise FrameSequenceBroken('another start of the guard answers')
+            self._check_head(frame)
         elif isinstance(frame, _frames.End):
-            if frame.chunks != self._next_chunk:
-                raise FrameSequenceBroken(
-                    f'{frame.chunks} chunks sent, {self._next_chunk} received',
-                )
+            self._check_end(frame)
+
+    def _check_head(self, head: _frames.Head) -> None:
+        if head.incarnation != self._incarnation:
+            raise FrameSequenceBroken('another start of the guard answers')
+
+    def _check_end(self, end: _frames.End) -> None:
+        if end.chunks != self._next_chunk:
+            raise FrameSequenceBroken(
+                f'{end.chunks} chunks sent, {self._next_chunk} received',
+            )
 
     def _check_chunk(self, chunk: _frames.Chunk) -> None:
         if chunk.number != self._next_chunk:
--- a/src/carobslip/entry/_runner.py
+++ b/src/carobslip/entry/_runner.py
@@ -221,6 +221,9 @@
             'no target of the service accepts work at present',
             retry_after_ms=int(_AVOID_MS),
         )
+        if progress.unsettled is not None and _is_refusal(last):
+            # The last target refused, but an earlier one may have run it.
+            return verdicts.may_have_run(_Reason.CONNECTION_LOST)
         return judge_for_caller(
             last,
             key_is_callers=not progress.key_is_fresh
@@ -241,6 +244,7 @@
         settled = await self._settle(progress.key, sent)
         self._note(progress, '', f'settled after the deadline: {settled}')
         progress.last = _settlement.outcome_of(settled, late)
+        progress.unsettled = None
         return self._conclude(progress)
 
     def _choose(
@@ -544,6 +548,10 @@
     return guard.target or identifiers.TargetId('')
 
 
+def _is_refusal(outcome: verdicts.Outcome) -> bool:
+    return outcome.verdict is _Verdict.NOT_RUN
+
+
 class _CountingCaller:
     """Passes a reply on and notes when it has begun."""
 
--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -128,8 +128,8 @@
         Waits until some configuration has been found.
         """
         await self.node.start()
-        while not await self._gather_start_state():
-            await asyncio.sleep(_START_PAUSE_S)
+        while not await self._gather_start_state():  # noqa: ASYNC110
+            await asyncio.sleep(_START_PAUSE_S)  # The platform has no signal.
         self._run_for_ever(self._prober.run)
         self._run_for_ever(self._watch_configuration)
         self._run_for_ever(self._poll_list)
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -142,6 +142,7 @@
         self.members: dict[str, Member] = {}
         self.targets: dict[str, targets.FakeTarget] = {}
         self.replies: list[Reply] = []
+        self.replies_tasks: list[asyncio.Task[Any]] = []
         self._ports = itertools.count(1)
 
     def publish(self, **changes: Any) -> None:
--- a/tests/fakes/host.py
+++ b/tests/fakes/host.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextvars
 import functools
+import os
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -16,6 +17,12 @@
 )
 
 
+#: Tasks by process. Those of killed processes stay referenced for ever: their
+#: cleaning up would do what a killed process does not do.
+_tasks: list[tuple['Host', 'asyncio.Task[Any]']] = []
+_killed: list['asyncio.Task[Any]'] = []
+
+
 class Host:
     """One simulated process; its tasks stop while it is frozen."""
 
@@ -72,8 +79,6 @@
 
     def throw(self, kind: Any, value: Any = None, traceback: Any = None) -> Any:
         fault = value if value is not None else kind
-        if self._host.dead:
-            raise fault if isinstance(fault, BaseException) else fault()
         if self._host.frozen:
             self._held = ('throw', fault)
             return self._hold()
@@ -99,14 +104,17 @@
     context: contextvars.Context | None = None,
 ) -> asyncio.Task[Any]:
     host = current.get() if context is None else context.get(current)
-    if host is not None:
-        work = _Freezable(work, host)
-    return asyncio.Task(work, loop=loop, context=context)
+    if host is None:
+        return asyncio.Task(work, loop=loop, context=context)
+    task = asyncio.Task(_Freezable(work, host), loop=loop, context=context)
+    _tasks.append((host, task))
+    return task
 
 
 def run_virtual(work: Coroutine[Any, Any, Any], *, seed: int = 0) -> Any:
     """Runs a coroutine on a loop whose time is virtual."""
     random.seed(seed)
+    real_entropy, os.urandom = os.urandom, random.randbytes
     loop = looptime.new_event_loop(start=1000.0, noop_cycles=0)
     loop.set_task_factory(_new_task)
     asyncio.set_event_loop(loop)
@@ -114,6 +122,7 @@
         return loop.run_until_complete(work)
     finally:
         _abandon(loop)
+        os.urandom = real_entropy
 
 
 def virtual(test: Callable[..., Coroutine[Any, Any, Any]]) -> Any:
@@ -127,12 +136,16 @@
 
 
 def _abandon(loop: asyncio.AbstractEventLoop) -> None:
-    remaining = asyncio.all_tasks(loop)
+    killed = {task for host, task in _tasks if host.dead and not task.done()}
+    _killed.extend(killed)
+    _tasks.clear()
+    remaining = asyncio.all_tasks(loop) - killed
     for task in remaining:
         task.cancel()
     loop.set_exception_handler(lambda _loop, _context: None)
-    loop.run_until_complete(
-        asyncio.wait(remaining, timeout=60) if remaining else asyncio.sleep(0),
-    )
+    if remaining:
+        loop.run_until_complete(asyncio.wait(remaining, timeout=5))
+    for task in killed:
+        task._log_destroy_pending = False
     asyncio.set_event_loop(None)
     loop.close()
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -26,6 +26,7 @@
         self.extra_delay_s: dict[tuple[str, str], float] = {}
         self.repeat_ratio = 0.0
         self.observe: Observer = lambda _kind, _source, _target: None
+        self.pipes: set[_Pipe] = set()
         self.control_bytes = 0
         self.control_messages = 0
 
@@ -35,6 +36,12 @@
         if both:
             self.cuts.add((target, source))
 
+    def lose_connections(self, source: str, target: str) -> None:
+        """Ends every reply that is on its way between two processes."""
+        for pipe in list(self.pipes):
+            if pipe.ends == (source, target):
+                pipe.end()
+
     def heal(self) -> None:
         self.cuts.clear()
         self.extra_delay_s.clear()
@@ -108,16 +115,18 @@
 
     def __init__(self, network: Network, source: str, target: str) -> None:
         self._network = network
-        self._ends = (source, target)
+        self.ends = (source, target)
         self._queue: asyncio.Queue[bytes | None] = asyncio.Queue()
         self._buffer = b''
+        network.pipes.add(self)
 
     async def write(self, frame: attempts.Frame) -> None:
-        self._network.observe(type(frame).__name__, *self._ends)
-        if await self._network.travel(*self._ends):
+        self._network.observe(type(frame).__name__, *self.ends)
+        if await self._network.travel(*self.ends):
             self._queue.put_nowait(attempts.encode_frame(frame))
 
     def end(self) -> None:
+        self._network.pipes.discard(self)
         self._queue.put_nowait(None)
 
     async def read_exactly(self, length: int) -> bytes:
--- /dev/null
+++ b/tests/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: every fault at every step, judged by the ledgers."""
