--- /dev/null
+++ b/tests/models/map_switch.py
@@ -0,0 +1,265 @@
+"""Exhaustive search of the map switch, over the real rank code.
+
+Three ranks and two coordinators. Every request is delivered at any moment, or
+never; coordinators stop anywhere and go on at any later moment; a guard may
+be replaced. The group steps whenever no engine is halted, and the search looks
+for a step in which ranks run different maps.
+"""
+
+import copy
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from carobslip import expertmap
+from tests.fakes import engine as engines
+
+RANKS = 3
+STEP = 1
+VERSION = expertmap.MapVersion(2)
+
+
+class Rules(msgspec.Struct, frozen=True, kw_only=True):
+    """The rules of the switch; a test leaves one of them out."""
+
+    all_must_promise: bool = True
+    abort_needs_all_answers: bool = True
+    answers_bind: bool = True
+    promise_halts: bool = True
+    orders_name_the_start: bool = True
+    recovering_told_last: bool = True
+
+
+class _LooseRank(expertmap.RankSwitch):
+    """A rank without some of the rules."""
+
+    rules = Rules()
+
+    def inquire(self, ballot: int) -> expertmap.RankState | None:
+        bound = self._ballot
+        answer = super().inquire(ballot)
+        if not self.rules.answers_bind:
+            self._ballot = min(bound, self._ballot)
+        return answer
+
+    def promise(
+        self,
+        version: expertmap.MapVersion,
+        step: int,
+        order: expertmap.Order,
+    ) -> expertmap.Promise:
+        answer = super().promise(version, step, order)
+        if not self.rules.promise_halts:
+            self._engine.halted = None
+        return answer
+
+    def _is_valid(self, order: expertmap.Order) -> bool:
+        if self.rules.orders_name_the_start and self.rules.answers_bind:
+            return super()._is_valid(order)
+        if self.rules.answers_bind:
+            return order.ballot >= self._ballot
+        return order.incarnation == self._incarnation
+
+
+class World:
+    """One state: engines, ranks, and what coordinators have heard."""
+
+    def __init__(self, rules: Rules) -> None:
+        self.rules = rules
+        self.group = engines.LockStepGroup(RANKS)
+        self.ranks = [self.new_rank(index) for index in range(RANKS)]
+        # For each coordinator: its phase and the answers of the ranks.
+        self.phases = ['inquire', 'inquire']
+        self.answers: list[dict[int, Any]] = [{}, {}]
+        self.replaced = 0
+        self.starts: list[dict[int, int]] = [{}, {}]
+        self.recovering: list[frozenset[int]] = [frozenset(), frozenset()]
+
+    def new_rank(self, index: int, start: int = 0) -> expertmap.RankSwitch:
+        rank = _LooseRank(engine=self.group.engines[index], incarnation=start)
+        rank.rules = self.rules
+        return rank
+
+    def identity(self) -> Any:
+        ranks = tuple(
+            (
+                rank._ballot,
+                rank._phase,
+                rank._proposed,
+                rank._step,
+                rank._incarnation,
+            )
+            for rank in self.ranks
+        )
+        group = tuple(
+            (
+                one.running,
+                one.running_from,
+                one.granted,
+                one.halted,
+                one.fencing,
+            )
+            for one in self.group.engines
+        )
+        heard = tuple(
+            (
+                phase,
+                tuple(sorted(answers.items())),
+                tuple(sorted(starts.items())),
+                tuple(sorted(recovering)),
+            )
+            for phase, answers, starts, recovering in zip(
+                self.phases,
+                self.answers,
+                self.starts,
+                self.recovering,
+                strict=True,
+            )
+        )
+        return ranks, group, heard, self.replaced
+
+    def copy(self) -> 'World':
+        world = copy.copy(self)
+        world.group = copy.copy(self.group)
+        world.group.engines = [copy.copy(one) for one in self.group.engines]
+        world.ranks = []
+        for index, rank in enumerate(self.ranks):
+            same = copy.copy(rank)
+            same._engine = world.group.engines[index]
+            world.ranks.append(same)
+        world.phases = list(self.phases)
+        world.answers = [dict(answers) for answers in self.answers]
+        world.starts = [dict(starts) for starts in self.starts]
+        world.recovering = list(self.recovering)
+        return world
+
+
+class Search:
+    """Depth-first search over all states."""
+
+    def __init__(self, rules: Rules, *, replaced_max: int) -> None:
+        self.rules = rules
+        self.replaced_max = replaced_max
+        self.states = 0
+        self.switched = False
+
+    def find_split(self) -> bool:
+        """Tells whether any step was run under two maps."""
+        start = World(self.rules)
+        known = {start.identity()}
+        open_worlds = [start]
+        try:
+            while open_worlds:
+                for world in self.steps(open_worlds.pop()):
+                    identity = world.identity()
+                    if identity not in known:
+                        known.add(identity)
+                        open_worlds.append(world)
+        except engines.SplitGroup:
+            return True
+        finally:
+            self.states = len(known)
+        return False
+
+    def steps(self, world: World) -> Iterator[World]:
+        if world.group.can_step() and world.group.steps < STEP + 1:
+            after = world.copy()
+            after.group.step()
+            switched = after.group.engines[0].running == VERSION
+            self.switched = self.switched or switched
+            yield after
+        for index in range(RANKS):
+            if world.replaced < self.replaced_max:
+                after = world.copy()
+                after.replaced += 1
+                after.ranks[index] = after.new_rank(index, after.replaced)
+                yield after
+        for leader in (0, 1):
+            yield from self.lead(world, leader)
+
+    def lead(self, world: World, leader: int) -> Iterator[World]:
+        """Delivers one request of a coordinator, or ends its phase."""
+        phase = world.phases[leader]
+        for index in range(RANKS):
+            if index in world.answers[leader] or phase == 'ended':
+                continue
+            if phase == 'abort' and self.must_wait(world, leader, index):
+                continue
+            after = world.copy()
+            answer = self.ask(after, leader, index)
+            after.answers[leader][index] = answer
+            yield after
+        after = world.copy()
+        if self.end_phase(after, leader):
+            yield after
+
+    def must_wait(self, world: World, leader: int, index: int) -> bool:
+        recovering = world.recovering[leader]
+        if index not in recovering or not self.rules.recovering_told_last:
+            return False
+        answers = world.answers[leader]
+        return not all(
+            answers.get(other)
+            for other in range(RANKS)
+            if other not in recovering
+        )
+
+    def ask(self, world: World, leader: int, index: int) -> Any:
+        rank, ballot = world.ranks[index], leader + 1
+        phase = world.phases[leader]
+        if phase == 'inquire':
+            state = rank.inquire(ballot)
+            if state is None:
+                return 'refused'
+            world.starts[leader][index] = state.incarnation
+            if state.phase is expertmap.Phase.RECOVERING:
+                world.recovering[leader] |= {index}
+            return (state.phase.value, int(state.running))
+        order = expertmap.Order(
+            ballot=ballot, incarnation=world.starts[leader].get(index, 0)
+        )
+        if phase == 'promise':
+            return rank.promise(VERSION, STEP, order).granted
+        decision = expertmap.Decision(phase)
+        return rank.decide(VERSION, decision, order)
+
+    def end_phase(self, world: World, leader: int) -> bool:
+        """Lets a coordinator draw its conclusion, as the real one does."""
+        answers = world.answers[leader]
+        phase = world.phases[leader]
+        everyone = len(answers) == RANKS
+        if phase == 'inquire':
+            after = self.judge_states(world, leader, everyone)
+        elif phase == 'promise':
+            needed = RANKS if self.rules.all_must_promise else RANKS - 1
+            if sum(bool(given) for given in answers.values()) >= needed:
+                after = 'commit'
+            else:
+                after = 'abort' if everyone else None
+        else:
+            after = 'ended' if everyone else None
+        if after is None or phase == 'ended':
+            return False
+        world.phases[leader] = after
+        world.answers[leader] = {}
+        return True
+
+    def judge_states(
+        self, world: World, leader: int, everyone: bool
+    ) -> str | None:
+        answers = list(world.answers[leader].values())
+        if 'refused' in answers:
+            return 'ended'
+        if not everyone and (self.rules.abort_needs_all_answers or not answers):
+            return None
+        halted = [one for one in answers if one[0] != 'settled']
+        newest = max(running for _phase, running in answers)
+        if not halted:
+            return 'ended' if newest == VERSION else 'promise'
+        return 'commit' if newest == VERSION else 'abort'
+
+
+def rule_names() -> list[str]:
+    """Returns the names of all rules."""
+    return [field.name for field in msgspec.structs.fields(Rules)]
