--- a/src/carobslip/cli/_application.py
+++ b/src/carobslip/cli/_application.py
@@ -4,7 +4,6 @@
 3 an instance could not be asked, 4 nothing is known of what was asked for.
 """
 
-import enum
 import pathlib
 from typing import Annotated
 
@@ -12,7 +11,7 @@
 
 import carobslip
 from carobslip import observability
-from carobslip.cli import _documents, _questions
+from carobslip.cli import _burn, _documents, _questions
 
 application = typer.Typer(
     name='carobslip',
@@ -22,6 +21,9 @@
     pretty_exceptions_enable=False,
 )
 
+report = typer.Typer(help='Reports over the running fleet.')
+application.add_typer(report, name='report')
+
 SettingsOption = Annotated[
     pathlib.Path,
     typer.Option('--settings', help='Settings file, JSON with comments.'),
@@ -40,15 +42,6 @@
 ]
 
 
-class ExitCode(enum.IntEnum):
-    """Exit codes of the program."""
-
-    DONE = 0
-    REFUSED = 1
-    UNREACHABLE = 3
-    UNKNOWN = 4
-
-
 @application.command()
 def entry(
     settings: SettingsOption,
@@ -84,7 +77,7 @@
     fault = _documents.find_fault(file, previous)
     if fault is not None:
         typer.echo(fault, err=True)
-        raise typer.Exit(ExitCode.REFUSED)
+        raise typer.Exit(_documents.REFUSED)
     typer.echo(f'{file}: accepted')
 
 
@@ -104,6 +97,22 @@
     _questions.show_explanation(address, request_id, as_json=json)
 
 
+@report.command()
+def burn(
+    addresses: Annotated[
+        list[str],
+        typer.Argument(help='Operator addresses of entries.'),
+    ],
+    json: JsonOption = False,
+    html: Annotated[
+        pathlib.Path | None,
+        typer.Option(help='Write one self-contained HTML page.'),
+    ] = None,
+) -> None:
+    """Show how fast services spend their error budgets."""
+    _burn.show_burn(addresses, as_json=json, page=html)
+
+
 @application.command()
 def version() -> None:
     """Print the version."""
--- a/src/carobslip/cli/_documents.py
+++ b/src/carobslip/cli/_documents.py
@@ -6,7 +6,8 @@
 
 from carobslip import configuration, settings
 
-_REFUSED = 1
+#: Exit code of a refused document.
+REFUSED = 1
 
 
 def run_role(path: pathlib.Path, *, role: str) -> None:
@@ -20,7 +21,7 @@
         own = settings.read_settings(path)
     except (configuration.InvalidDocument, OSError) as fault:
         typer.echo(str(fault), err=True)
-        raise typer.Exit(_REFUSED) from None
+        raise typer.Exit(REFUSED) from None
     # The servers are loaded only by the commands that run them.
     from carobslip import processes
 
@@ -30,7 +31,7 @@
         processes.run_process(processes.GuardProcess(own=own))
     else:
         typer.echo(f'{path}:1: $.kind: the command is {role!r}', err=True)
-        raise typer.Exit(_REFUSED)
+        raise typer.Exit(REFUSED)
 
 
 def find_fault(
--- a/src/carobslip/cli/_questions.py
+++ b/src/carobslip/cli/_questions.py
@@ -7,31 +7,52 @@
 
 import typer
 
-_UNREACHABLE: Final = 3
-_UNKNOWN: Final = 4
+#: Exit codes.
+UNREACHABLE: Final = 3
+UNKNOWN: Final = 4
 _TIMEOUT_S: Final = 3
 
 
-def ask(address: str, path: str) -> Any:
+class Unanswered(Exception):
+    """An instance could not be asked."""
+
+
+class Unknown(Exception):
+    """The instance knows nothing of what was asked for."""
+
+
+def fetch(address: str, path: str) -> Any:
     """Returns an instance's answer to an operator's question.
 
     Args:
         address: Operator address, IP:PORT.
         path: The question's path.
+
+    Raises:
+        Unanswered: The instance could not be asked.
+        Unknown: It knows nothing of what was asked for.
     """
     opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    url = f'http://{address}{path}'
     try:
-        with opener.open(
-            f'http://{address}{path}',
-            timeout=_TIMEOUT_S,
-        ) as answer:
+        with opener.open(url, timeout=_TIMEOUT_S) as answer:
             return json.load(answer)
     except urllib.error.HTTPError as fault:
-        typer.echo(fault.read().decode().strip(), err=True)
-        raise typer.Exit(_UNKNOWN) from None
+        raise Unknown(fault.read().decode().strip()) from None
     except (OSError, ValueError) as fault:
-        typer.echo(f'{address} cannot be asked: {fault}', err=True)
-        raise typer.Exit(_UNREACHABLE) from None
+        raise Unanswered(f'cannot be asked: {fault}') from None
+
+
+def ask(address: str, path: str) -> Any:
+    """Returns an answer, or ends the command with the fitting exit code."""
+    try:
+        return fetch(address, path)
+    except Unknown as fault:
+        typer.echo(str(fault), err=True)
+        raise typer.Exit(UNKNOWN) from None
+    except Unanswered as fault:
+        typer.echo(f'{address} {fault}', err=True)
+        raise typer.Exit(UNREACHABLE) from None
 
 
 def show_status(address: str, *, as_json: bool) -> None:
--- a/src/carobslip/expertmap/_coordinator.py
+++ b/src/carobslip/expertmap/_coordinator.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import enum
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, Protocol, TypeVar
 
 from carobslip.expertmap import _map, _rank
@@ -50,6 +50,9 @@
     ) -> _rank.Promise:
         """Asks for a rank's promise; raises RankUnreachable."""
 
+    async def confirm(self, rank: int, order: _rank.Order) -> bool:
+        """Asks whether the rank is still bound; raises RankUnreachable."""
+
     async def decide(
         self,
         rank: int,
@@ -78,7 +81,6 @@
         self._ranks = ranks
         self._ballot = ballot
         self._orders: list[_rank.Order] = []
-        self._recovering: list[int] = []
 
     async def switch(self, proposed: _map.ExpertMap) -> SwitchEnd:
         """Brings ``proposed`` into force.
@@ -141,11 +143,6 @@
             _rank.Order(ballot=self._ballot, incarnation=state.incarnation)
             for state in states
         ]
-        self._recovering = [
-            rank
-            for rank, state in enumerate(states)
-            if state.phase is _rank.Phase.RECOVERING
-        ]
         return states if len(states) == len(answers) else None
 
     async def _finish_open(
@@ -171,32 +168,22 @@
     ) -> bool:
         """Tells every rank; returns whether all of them obeyed.
 
-        A recovering rank cannot know that it is bound to a newer coordinator.
-        It is told to abort only after all others have obeyed, and so have
-        shown that nobody else can commit.
+        An abort is told only after every rank has confirmed that it is still
+        bound, by the same start of its guard: then all were bound at one
+        moment, and no other coordinator can have gathered all promises since.
         """
-        everyone = range(len(self._ranks))
-        first = [rank for rank in everyone if rank not in self._recovering]
-        told = await self._tell(first, version, decision)
-        if decision is _rank.Decision.ABORT and not told:
-            return False
-        return await self._tell(self._recovering, version, decision) and told
-
-    async def _tell(
-        self,
-        ranks: Iterable[int],
-        version: _map.MapVersion,
-        decision: _rank.Decision,
-    ) -> bool:
-        obeyed = await asyncio.gather(
-            *(
-                self._ranks.decide(
-                    rank,
-                    version,
-                    decision,
-                    self._orders[rank],
-                )
-                for rank in ranks
+        if decision is _rank.Decision.ABORT:
+            bound = await self._each(
+                lambda rank: self._ranks.confirm(rank, self._orders[rank]),
+            )
+            if not all(bound):
+                return False
+        obeyed = await self._each(
+            lambda rank: self._ranks.decide(
+                rank,
+                version,
+                decision,
+                self._orders[rank],
             ),
         )
         return all(obeyed)
--- a/src/carobslip/expertmap/_rank.py
+++ b/src/carobslip/expertmap/_rank.py
@@ -194,6 +194,10 @@
             ballot=self._ballot,
         )
 
+    def confirm(self, order: Order) -> bool:
+        """Tells whether this start of the guard is bound to the order."""
+        return self._is_valid(order)
+
     def decide(
         self,
         version: _map.MapVersion,
--- a/src/carobslip/processes/_entry.py
+++ b/src/carobslip/processes/_entry.py
@@ -9,11 +9,13 @@
 
 from carobslip import (
     clocks,
+    configuration,
     control,
     directory,
     entry,
     identifiers,
     observability,
+    reports,
     routing,
     settings,
     verdicts,
@@ -54,6 +56,10 @@
         )
         self._hints = routing.HintBook(clock=self._clock)
         self._traces = entry.TraceBook()
+        self._burn_counter = reports.BurnCounter(
+            clock=self._clock,
+            objective_of=self._objective_of,
+        )
         self._chooser = routing.Chooser(
             entry=own.instance,
             fleet=self._member.fleet,
@@ -97,6 +103,7 @@
             questions={
                 '/status': self._status,
                 '/explain/{request_id}': self._explain,
+                '/burn': self._burn,
             },
         )
         self._runners = [
@@ -139,6 +146,26 @@
         name = f'{request.service}.{outcome.verdict.value}'
         self._metrics.count(f'requests.{name}')
         self._metrics.time_ms(f'duration.{request.service}', duration_ms)
+        self._burn_counter.note(
+            request.service,
+            request.team,
+            duration_ms,
+            outcome,
+        )
+
+    def _burn(self, request: web.Request) -> reports.EntryCounts:
+        return reports.EntryCounts(
+            instance=self._own.instance,
+            data_centre=self._own.data_centre,
+            series=self._burn_counter.series(),
+        )
+
+    def _objective_of(
+        self,
+        service: identifiers.ServiceId,
+    ) -> configuration.Objective:
+        known = self._member.holder.configuration.services.get(service)
+        return configuration.Objective() if known is None else known.objective
 
     def _status(self, request: web.Request) -> _status.Status:
         return _status.build_status(
