Reserve memory for a reply only when its call starts

Cause: at three times the load bookings were refused as record-full and, after all guards had refused, told may-have-run: each waiting booking held 256 KiB for its reply, so 32 of them filled the record. Ruled out: the claims (none failed). Change: memory is set aside after admission; overhead per key 1 KiB (0.46 kB measured), replies up to 64 KiB, record 16 MiB. The new test fails before and passes after.

--- a/src/carobslip/configuration/_policy.py
+++ b/src/carobslip/configuration/_policy.py
@@ -74,11 +74,11 @@
     idle_cold_ms: PositiveInt = 300_000
     drain_ms: PositiveInt = 30_000
     horizon_ms: PositiveInt = 3_600_000
-    record_max_bytes: PositiveInt = 8_388_608
+    record_max_bytes: PositiveInt = 16_777_216
     clock_error_ms: CountInt = 2000
     claim_ms: PositiveInt = 2000
     body_max_bytes: PositiveInt = 1_048_576
-    reply_max_bytes: PositiveInt = 262_144
+    reply_max_bytes: PositiveInt = 65_536
 
     def __post_init__(self) -> None:
         _require_order(
--- a/src/carobslip/guard/_keyed_run.py
+++ b/src/carobslip/guard/_keyed_run.py
@@ -165,12 +165,6 @@
         refusal = await self._take_hold(attempt, record)
         if refusal is not None:
             return _without_content(refusal)
-        try:
-            self._record.reserve_reply(record, policy.reply_max_bytes)
-        except idempotency.RecordFull:
-            return _without_content(
-                _proven(verdicts.not_run(_Reason.RECORD_FULL)),
-            )
         try:
             ticket = await self._gate.enter(
                 team=attempt.team,
@@ -220,6 +214,13 @@
         refusal = self._last_check(attempt)
         if refusal is not None:
             return _without_content(_proven(refusal))
+        # Memory is set aside only now: what waits in the queue needs none.
+        try:
+            self._record.reserve_reply(record, policy.reply_max_bytes)
+        except idempotency.RecordFull:
+            return _without_content(
+                _proven(verdicts.not_run(_Reason.RECORD_FULL)),
+            )
         remaining_ms = attempt.deadline_ms - self._clock.now_ms()
         if record.state is not _KeyState.HELD:
             return _without_content(verdicts.not_run(_Reason.KEY_SEALED))
--- a/src/carobslip/idempotency/_record.py
+++ b/src/carobslip/idempotency/_record.py
@@ -12,7 +12,7 @@
 from carobslip.idempotency import _ballot
 
 #: Memory that one key takes besides its reply: objects, table and names.
-KEY_OVERHEAD_BYTES: Final = 2048
+KEY_OVERHEAD_BYTES: Final = 1024
 
 
 class KeyState(enum.Enum):
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -96,3 +96,19 @@
     ]
     assert {reply.verdict for reply in replies} == {RAN}
     assert len(cluster.targets['desk-3'].ran) == 5
+
+
+@hosts.virtual
+async def test_waiting_bookings_reserve_no_memory_for_replies():
+    # Room for two replies of the longest kind, and sixty keys waiting.
+    cluster = await clusters.small_cluster(
+        defaults={
+            'record_max_bytes': 250_000,
+            'reply_max_bytes': 65_536,
+            'concurrency_max': 2,
+        }
+    )
+    replies = await asyncio.gather(
+        *(cluster.request('entry-1', key=cluster.new_key()) for _ in range(60))
+    )
+    assert {reply.verdict for reply in replies} == {RAN}
