--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -61,9 +61,7 @@
     cases = {'"desk-1", "desk-2"': 0, '"desk-1", "desk-4", "desk-5"': 1}
     for members, code in cases.items():
         after = tmp_path / 'after.json5'
-        after.write_text(
-            later.replace('"desk-1", "desk-2", "desk-3"', members)
-        )
+        after.write_text(later.replace('"desk-1", "desk-2", "desk-3"', members))
         arguments = ['check', '--previous', str(before), str(after)]
         result = CliRunner().invoke(cli.application, arguments)
         assert result.exit_code == code, result.output
