Control traffic survives a pause: timers for send and answer, workers that stay

Cause: after SIGSTOP and SIGCONT a guard stayed dead to the others for ever. Its probing task hung: the messaging library drops a cancellation that meets a finished send, so the wait for the answer had no timer left. Ruled out: the peers' answers (they tell the sender that it is believed dead). Change: the answer has a timer of its own; workers survive errors of single messages; a member known only from the list, or under an earlier start, is told so and spreads its record.

--- a/src/carobslip/adapters/control_nng.py
+++ b/src/carobslip/adapters/control_nng.py
@@ -43,6 +43,7 @@
             collections.OrderedDict()
         )
         self._server: Any = None
+        self._is_closing = False
         self._workers: list[asyncio.Task[None]] = []
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -59,15 +60,20 @@
             PeerUnreachable: No answer came within ``timeout_ms``.
         """
         context = self._socket(address).new_context()
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_ms / 1000
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with asyncio.timeout_at(deadline_s):
                 await context.asend(frame)
-                self.sent_bytes += len(frame)
+            # The library drops a cancellation that meets a finished send, so
+            # the wait for the answer needs a timer of its own.
+            async with asyncio.timeout_at(max(deadline_s, loop.time())):
                 answer: bytes = await context.arecv()
         except (TimeoutError, pynng.NNGException) as fault:
             raise control.PeerUnreachable(f'{address}: {fault!r}') from None
         finally:
             context.close()
+        self.sent_bytes += len(frame)
         self.received_bytes += len(answer)
         return answer
 
@@ -81,25 +87,30 @@
 
     async def close(self) -> None:
         """Stops answering and drops all connections."""
+        self._is_closing = True
+        if self._server is not None:
+            self._server.close()
         for worker in self._workers:
             worker.cancel()
         await asyncio.gather(*self._workers, return_exceptions=True)
-        if self._server is not None:
-            self._server.close()
         while self._peers:
             self._peers.popitem()[1].close()
 
     async def _work(self, handler: control.Handler) -> None:
         context = self._server.new_context()
-        try:
-            while True:
-                frame = await context.arecv()
-                answer = await handler(frame)
-                self.received_bytes += len(frame)
-                self.sent_bytes += len(answer)
-                await context.asend(answer)
-        finally:
-            context.close()
+        while not self._is_closing:
+            try:
+                await self._answer_one(context, handler)
+            except pynng.NNGException:
+                # The peer has gone; the next request is another matter.
+                await asyncio.sleep(0)
+
+    async def _answer_one(self, context: Any, handler: control.Handler) -> None:
+        frame = await context.arecv()
+        answer = await handler(frame)
+        self.received_bytes += len(frame)
+        self.sent_bytes += len(answer)
+        await context.asend(answer)
 
     def _socket(self, address: str) -> Any:
         known = self._peers.get(address)
--- a/src/carobslip/control/_node.py
+++ b/src/carobslip/control/_node.py
@@ -38,6 +38,7 @@
         self._handlers: dict[type[_messages.Message], MessageHandler] = {}
         self._fetches: dict[str, asyncio.Task[None]] = {}
         self.undecodable_total = 0
+        self.failed_total = 0
         self.on(_messages.FetchConfiguration, self._answer_fetch)
 
     def on(
@@ -139,7 +140,13 @@
             return self._wrap(
                 _messages.Refused(fault='request not served here')
             )
-        return self._wrap(await handler(envelope.message, envelope.origin))
+        try:
+            answer = await handler(envelope.message, envelope.origin)
+        except Exception as fault:
+            # One request that fails must not end the answering of others.
+            self.failed_total += 1
+            answer = _messages.Refused(fault=repr(fault)[:500])
+        return self._wrap(answer)
 
     def _compare_versions(self, envelope: _messages.Envelope) -> None:
         theirs = (envelope.configuration_version, envelope.configuration_digest)
--- a/src/carobslip/membership/_prober.py
+++ b/src/carobslip/membership/_prober.py
@@ -228,8 +228,19 @@
         self,
         origin: control.Origin,
     ) -> tuple[control.MemberUpdate, ...]:
-        # A sender that is believed gone is told so, and can refute it.
+        # A sender that is believed gone, or whose present start is not known,
+        # is told so and can correct it.
         belief = self.table.find(origin.instance)
-        alive = (control.MemberState.ALIVE, control.MemberState.LEAVING)
-        about_sender = (belief,) if belief and belief.state not in alive else ()
-        return (*about_sender, *self.table.take_news())
+        if belief is None or _is_right_about(belief, origin):
+            return self.table.take_news()
+        return (belief, *self.table.take_news())
+
+
+def _is_right_about(
+    belief: control.MemberUpdate,
+    sender: control.Origin,
+) -> bool:
+    """Tells whether a belief needs no correction by the one it is about."""
+    alive = (control.MemberState.ALIVE, control.MemberState.LEAVING)
+    same_start = belief.incarnation == sender.incarnation
+    return same_start and belief.state in alive
--- a/src/carobslip/membership/_table.py
+++ b/src/carobslip/membership/_table.py
@@ -113,6 +113,11 @@
     def _refute(self, update: control.MemberUpdate) -> bool:
         # Somebody believes that this process is gone: a higher counter
         # overrides that belief everywhere.
+        if update.incarnation < self.own.incarnation:
+            # The others still speak of an earlier start, or know this one
+            # only from the list: they have to hear of it again.
+            self._queue(self.own)
+            return False
         same_start = update.incarnation == self.own.incarnation
         if not same_start or _precedence(update) <= _precedence(self.own):
             return False
