A woken member repeats its correction until the others believe it

Cause: a guard stopped for 7 s and woken stayed dead to the others. It refuted the belief at once, but the six repetitions of its record went into answers to probes that had queued up while it was stopped and whose senders had given up. Ruled out by a trace of its probes: hung tasks, lost messages (each answer still said dead, counter 0, while its own counter was 1). Change: whoever hears an outdated belief about itself queues its record again. Measured: the process test ran out of time before and passes in 16 s now; the table test fails before and passes after.

--- a/src/carobslip/membership/_table.py
+++ b/src/carobslip/membership/_table.py
@@ -113,13 +113,13 @@
     def _refute(self, update: control.MemberUpdate) -> bool:
         # Somebody believes that this process is gone: a higher counter
         # overrides that belief everywhere.
-        if update.incarnation < self.own.incarnation:
-            # The others still speak of an earlier start, or know this one
-            # only from the list: they have to hear of it again.
+        if _precedence(update) < _precedence(self.own):
+            # The others have missed what this process said of itself: news
+            # may be lost in answers to requests that nobody waits for.
             self._queue(self.own)
             return False
-        same_start = update.incarnation == self.own.incarnation
-        if not same_start or _precedence(update) <= _precedence(self.own):
+        later_start = update.incarnation > self.own.incarnation
+        if later_start or _precedence(update) == _precedence(self.own):
             return False
         if update.state is control.MemberState.LEAVING:
             self._renew_own(update.counter, update.state)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -261,7 +261,8 @@
             assert caught.value.line == line, str(caught.value)
 
 
-def test_member_known_only_from_the_list_corrects_a_wrong_belief():
+@pytest.mark.parametrize('incarnation', [0, 5])
+def test_member_repeats_itself_while_others_believe_otherwise(incarnation):
     table = membership.MemberTable(
         own=control.MemberUpdate(
             record=directory.InstanceRecord(
@@ -280,8 +281,14 @@
         pass
     wrong = msgspec.structs.replace(
         table.own,
-        incarnation=identifiers.Incarnation(0),
+        incarnation=identifiers.Incarnation(incarnation),
         state=control.MemberState.DEAD,
     )
+    for _ in range(3):
+        table.merge(wrong)
+        # All repetitions of the correction are lost.
+        while news := table.take_news():
+            assert news == (table.own,)
     table.merge(wrong)
     assert table.take_news() == (table.own,)
+    assert table.own.state is control.MemberState.ALIVE
