--- /dev/null
+++ b/src/carobslip/adapters/caller_headers.py
@@ -0,0 +1,82 @@
+"""Reads and checks what callers send beside the body."""
+
+import asyncio
+from typing import Final
+
+from aiohttp import web
+
+from carobslip import configuration, identifiers, verdicts
+
+TEAM_HEADER: Final = 'Carobslip-Team'
+KEY_HEADER: Final = 'Idempotency-Key'
+TIMEOUT_HEADER: Final = 'Carobslip-Timeout-Ms'
+
+#: Longest name of a team, and longest media type that is passed on.
+NAME_MAX_CHARS: Final = 128
+_KEY_MAX_CHARS: Final = 255
+
+_Reason = verdicts.Reason
+
+
+class Refused(Exception):
+    """The request is refused before a target is chosen."""
+
+    def __init__(self, *, outcome: verdicts.Outcome) -> None:
+        super().__init__(outcome.explanation)
+        self.outcome = outcome
+
+
+async def read_body(request: web.Request) -> bytes:
+    """Returns the whole body; raises Refused when it is too long."""
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as fault:
+        raise refused(_Reason.BODY_TOO_LARGE, fault.text or '') from None
+    except asyncio.IncompleteReadError as fault:
+        raise refused(_Reason.BAD_REQUEST, str(fault)) from None
+
+
+def read_team(request: web.Request) -> identifiers.TeamId:
+    """Returns the team; raises Refused when it is missing."""
+    team = request.headers.get(TEAM_HEADER, '').strip()
+    if not team or len(team) > NAME_MAX_CHARS:
+        raise refused(
+            _Reason.BAD_REQUEST,
+            f'{TEAM_HEADER} must have 1 to {NAME_MAX_CHARS} characters',
+        )
+    return identifiers.TeamId(team)
+
+
+def read_key(request: web.Request) -> identifiers.IdempotencyKey | None:
+    """Returns the idempotency key; raises Refused when it is not valid."""
+    key = request.headers.get(KEY_HEADER)
+    if key is None:
+        return None
+    key = key.strip()
+    if not key or len(key) > _KEY_MAX_CHARS or not key.isascii():
+        raise refused(
+            _Reason.BAD_REQUEST,
+            f'{KEY_HEADER} must have 1 to {_KEY_MAX_CHARS} ASCII characters',
+        )
+    return identifiers.IdempotencyKey(key)
+
+
+def read_timeout_ms(
+    request: web.Request,
+    policy: configuration.Policy,
+) -> float:
+    """Returns the remaining time in milliseconds, within the policy."""
+    text = request.headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return float(policy.timeout_ms)
+    if not text.isdecimal() or not text.isascii() or int(text) == 0:
+        raise refused(
+            _Reason.BAD_REQUEST,
+            f'{TIMEOUT_HEADER} must be a whole number above 0',
+        )
+    return float(min(int(text), policy.timeout_max_ms))
+
+
+def refused(reason: verdicts.Reason, explanation: str) -> Refused:
+    """Returns the error for a request that is itself at fault."""
+    return Refused(outcome=verdicts.not_run(reason, explanation))
--- a/src/carobslip/adapters/caller_server.py
+++ b/src/carobslip/adapters/caller_server.py
@@ -1,6 +1,5 @@
 """HTTP towards callers."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -16,16 +15,12 @@
     observability,
     verdicts,
 )
+from carobslip.adapters import caller_headers, problems
 
-TEAM_HEADER: Final = 'Carobslip-Team'
-KEY_HEADER: Final = 'Idempotency-Key'
-TIMEOUT_HEADER: Final = 'Carobslip-Timeout-Ms'
 REQUEST_ID_HEADER: Final = 'Carobslip-Request-Id'
 VERDICT_HEADER: Final = 'Carobslip-Verdict'
 ENTRIES_HEADER: Final = 'Carobslip-Entries'
 
-_NAME_MAX_CHARS: Final = 128
-_KEY_MAX_CHARS: Final = 255
 _BODY_MAX_BYTES: Final = 67_108_864
 _PROBLEM_TYPE: Final = 'application/problem+json'
 _EVENT_STREAM: Final = 'text/event-stream'
@@ -33,14 +28,6 @@
 _Reason = verdicts.Reason
 
 
-class _Refused(Exception):
-    """The request is refused before a target is chosen."""
-
-    def __init__(self, *, outcome: verdicts.Outcome) -> None:
-        super().__init__(outcome.explanation)
-        self.outcome = outcome
-
-
 class _ModelField(msgspec.Struct, frozen=True, kw_only=True):
     """The part of a draft that routing needs."""
 
@@ -48,19 +35,6 @@
     stream: bool = False
 
 
-class Problem(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """A problem body after RFC 9457, with verdict and reason."""
-
-    type: str
-    title: str
-    status: int
-    detail: str
-    verdict: str
-    reason: str
-    request_id: str
-    retry_after_ms: int | None = None
-
-
 class HttpCaller:
     """Passes one reply on to a caller."""
 
@@ -184,9 +158,9 @@
         request_id = identifiers.new_request_id(self._clock.wall_ms())
         self.in_progress += 1
         try:
-            body = await _read_body(request)
+            body = await caller_headers.read_body(request)
             checked = build(request, body, request_id)
-        except _Refused as refused:
+        except caller_headers.Refused as refused:
             return self._problem(request_id, refused.outcome)
         finally:
             self.in_progress -= 1
@@ -249,7 +223,7 @@
         )
         if caller.is_event_stream:
             problem = msgspec.json.encode(
-                _problem_of(checked.request_id, outcome),
+                problems.problem_of(checked.request_id, outcome),
             )
             await caller.write(b'event: error\ndata: ' + problem + b'\n\n')
         if request.transport is not None:
@@ -277,10 +251,12 @@
         try:
             draft = msgspec.json.decode(body, type=_ModelField)
         except msgspec.DecodeError as fault:
-            raise _refused(_Reason.BAD_REQUEST, str(fault)) from None
+            raise caller_headers.refused(
+                _Reason.BAD_REQUEST, str(fault)
+            ) from None
         service_id = self._holder.configuration.service_for_model(draft.model)
         if service_id is None:
-            raise _refused(
+            raise caller_headers.refused(
                 _Reason.UNKNOWN_SERVICE,
                 f'no service has the model {draft.model!r}',
             )
@@ -304,21 +280,21 @@
     ) -> entry.CallerRequest:
         service = self._holder.configuration.services.get(service_id)
         if service is None:
-            raise _refused(
+            raise caller_headers.refused(
                 _Reason.UNKNOWN_SERVICE,
                 f'no service named {service_id!r}',
             )
-        team = _read_team(request)
+        team = caller_headers.read_team(request)
         policy = self._holder.resolver.policy_for(
             configuration.Scope(service=service_id, team=team, model=model),
         )
         if len(body) > policy.body_max_bytes:
-            raise _refused(
+            raise caller_headers.refused(
                 _Reason.BODY_TOO_LARGE,
                 f'the body has {len(body)} bytes, the limit is '
                 f'{policy.body_max_bytes}',
             )
-        timeout_ms = _read_timeout_ms(request, policy)
+        timeout_ms = caller_headers.read_timeout_ms(request, policy)
         return entry.CallerRequest(
             request_id=request_id,
             service=service_id,
@@ -329,9 +305,9 @@
             content_type=request.headers.get(
                 'Content-Type',
                 'application/octet-stream',
-            )[:_NAME_MAX_CHARS],
+            )[: caller_headers.NAME_MAX_CHARS],
             body=body,
-            key=_read_key(request),
+            key=caller_headers.read_key(request),
             repeatable=service.is_repeatable(
                 request.method,
                 path.partition('?')[0],
@@ -344,7 +320,7 @@
         request_id: identifiers.RequestId,
         outcome: verdicts.Outcome,
     ) -> web.Response:
-        problem = _problem_of(request_id, outcome)
+        problem = problems.problem_of(request_id, outcome)
         headers = {
             **self._moved_headers(),
             REQUEST_ID_HEADER: request_id,
@@ -377,73 +353,6 @@
         ]
 
 
-async def _read_body(request: web.Request) -> bytes:
-    try:
-        return await request.read()
-    except web.HTTPRequestEntityTooLarge as fault:
-        raise _refused(_Reason.BODY_TOO_LARGE, fault.text or '') from None
-    except asyncio.IncompleteReadError as fault:
-        raise _refused(_Reason.BAD_REQUEST, str(fault)) from None
-
-
-def _read_team(request: web.Request) -> identifiers.TeamId:
-    team = request.headers.get(TEAM_HEADER, '').strip()
-    if not team or len(team) > _NAME_MAX_CHARS:
-        raise _refused(
-            _Reason.BAD_REQUEST,
-            f'{TEAM_HEADER} must have 1 to {_NAME_MAX_CHARS} characters',
-        )
-    return identifiers.TeamId(team)
-
-
-def _read_key(request: web.Request) -> identifiers.IdempotencyKey | None:
-    key = request.headers.get(KEY_HEADER)
-    if key is None:
-        return None
-    key = key.strip()
-    if not key or len(key) > _KEY_MAX_CHARS or not key.isascii():
-        raise _refused(
-            _Reason.BAD_REQUEST,
-            f'{KEY_HEADER} must have 1 to {_KEY_MAX_CHARS} ASCII characters',
-        )
-    return identifiers.IdempotencyKey(key)
-
-
-def _read_timeout_ms(
-    request: web.Request,
-    policy: configuration.Policy,
-) -> float:
-    text = request.headers.get(TIMEOUT_HEADER)
-    if text is None:
-        return float(policy.timeout_ms)
-    if not text.isdecimal() or not text.isascii() or int(text) == 0:
-        raise _refused(
-            _Reason.BAD_REQUEST,
-            f'{TIMEOUT_HEADER} must be a whole number above 0',
-        )
-    return float(min(int(text), policy.timeout_max_ms))
-
-
-def _refused(reason: verdicts.Reason, explanation: str) -> _Refused:
-    return _Refused(outcome=verdicts.not_run(reason, explanation))
-
-
-def _problem_of(
-    request_id: identifiers.RequestId,
-    outcome: verdicts.Outcome,
-) -> Problem:
-    return Problem(
-        type=f'urn:carobslip:reason:{outcome.reason.value}',
-        title=outcome.reason.value.replace('-', ' '),
-        status=entry.status_of(outcome),
-        detail=outcome.explanation,
-        verdict=outcome.verdict.value,
-        reason=outcome.reason.value,
-        request_id=request_id,
-        retry_after_ms=outcome.retry_after_ms,
-    )
-
-
 def _json(content: Any) -> web.Response:
     return web.Response(
         body=msgspec.json.encode(content),
--- a/src/carobslip/adapters/control_nng.py
+++ b/src/carobslip/adapters/control_nng.py
@@ -65,10 +65,11 @@
         try:
             async with asyncio.timeout_at(deadline_s):
                 await context.asend(frame)
-            # The library drops a cancellation that meets a finished send, so
-            # the wait for the answer needs a timer of its own.
+            _raise_lost_cancellation()
+            # For the same reason the answer needs a timer of its own.
             async with asyncio.timeout_at(max(deadline_s, loop.time())):
                 answer: bytes = await context.arecv()
+            _raise_lost_cancellation()
         except (TimeoutError, pynng.NNGException) as fault:
             raise control.PeerUnreachable(f'{address}: {fault!r}') from None
         finally:
@@ -104,6 +105,7 @@
             except pynng.NNGException:
                 # The peer has gone; the next request is another matter.
                 await asyncio.sleep(0)
+            _raise_lost_cancellation()
 
     async def _answer_one(self, context: Any, handler: control.Handler) -> None:
         frame = await context.arecv()
@@ -126,3 +128,14 @@
                 self._peers.popitem(last=False)[1].close()
         self._peers.move_to_end(address)
         return known
+
+
+def _raise_lost_cancellation() -> None:
+    """Raises the cancellation that the messaging library has dropped.
+
+    It drops one that meets a finished operation; the task would then go on
+    for ever, and whoever waits for its end as well.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
--- a/tests/standins/launcher.py
+++ b/tests/standins/launcher.py
@@ -1,10 +1,10 @@
 """Starts a fleet of real processes on loopback addresses."""
 
+import itertools
 import json
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,11 +13,18 @@
 ROOT = pathlib.Path(__file__).parents[2]
 
 
-def free_address(host: str = '127.0.0.1') -> str:
-    """Returns an address whose port is free at this moment."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f'{host}:{probe.getsockname()[1]}'
+_ports = itertools.count(10_000)
+
+
+def free_address() -> str:
+    """Returns an address that no other process of this machine uses.
+
+    The loopback address follows from the process id, and ports below those
+    that the system hands out are counted up, so tests that run side by side
+    cannot meet.
+    """
+    pid = os.getpid()
+    return f'127.{1 + pid % 250}.{pid // 250 % 250}.1:{next(_ports)}'
 
 
 class Fleet:
