Launcher waits until every process believes all others alive

Cause: on a busy machine a draft was refused for want of a target in one run of the end-to-end test: a guard that started late was still believed dead. Ruled out: a lost guard (it served).

--- a/tests/standins/launcher.py
+++ b/tests/standins/launcher.py
@@ -117,6 +117,22 @@
             self.wait_for_http(f'http://{address}/health', target)
         for name in self.records:
             self.wait_until_serving(name)
+        for name in self.records:
+            self.wait_until_acquainted(name)
+
+    def wait_until_acquainted(self, name: str) -> None:
+        """Waits until a process believes all others alive.
+
+        On a busy machine those that start late are first believed dead.
+        """
+        deadline = time.monotonic() + 60
+        while True:
+            members = self.status(name)['members']
+            states = [member['state'] for member in members]
+            if states == ['alive'] * len(self.records):
+                return
+            assert time.monotonic() < deadline, f'{name}: {members}'
+            time.sleep(0.1)
 
     def start_target(self, target: str) -> None:
         self.spawn(target, 'tests.standins.target', self.targets[target])
