Guards balance the expert maps of lock-step groups

Cause: map 0 leaves the most loaded rank at 3.07 times the mean, so passes last three times as long as they need to. Change: the guard of the lowest rank that answers coordinates: it adds up the choices of all ranks, plans a layout with at most one new expert a rank, and switches by prepare, hold, arm and go.

--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from carobslip import directory, identifiers, targets
+from carobslip import directory, expertmap, identifiers, targets
 
 _NAME_MAX_CHARS = 128
 _MEMBERS_MAX = 64
@@ -139,6 +139,24 @@
     ranks: tuple[RankLoad, ...]
 
 
+class RankNewsPush(_Message, frozen=True, kw_only=True):
+    """Tells a group's coordinator about a rank."""
+
+    news: expertmap.RankNews
+
+
+class OrderRank(_Message, frozen=True, kw_only=True):
+    """Asks a guard to give its engine an order."""
+
+    order: expertmap.RankOrder
+
+
+class RankOrdered(_Message, frozen=True, kw_only=True):
+    """Answers how an order ended."""
+
+    answer: expertmap.RankAnswer
+
+
 class Noted(_Message, frozen=True, kw_only=True):
     """Confirms that news was taken."""
 
@@ -295,6 +313,9 @@
     | FetchTargets
     | TargetList
     | GroupLoad
+    | RankNewsPush
+    | OrderRank
+    | RankOrdered
     | Noted
     | Hello
     | GuardHint
--- a/src/carobslip/expertmap/__init__.py
+++ b/src/carobslip/expertmap/__init__.py
@@ -1,12 +1,38 @@
 """Expert maps: where experts go, and how all ranks switch in one step."""
 
+from carobslip.expertmap._balance import (
+    BalanceBounds,
+    BalancePlan,
+    balance,
+)
 from carobslip.expertmap._coordinator import (
     Coordinator,
     Ranks,
     RankUnreachable,
     SwitchEnd,
 )
+from carobslip.expertmap._group_map import (
+    ArmedMap,
+    Layout,
+    RankReport,
+    join_ranks,
+)
+from carobslip.expertmap._lead import (
+    GroupLead,
+    LeadSettings,
+    RankNews,
+)
 from carobslip.expertmap._map import ExpertMap, MapVersion
+from carobslip.expertmap._orders import (
+    EngineControl,
+    EngineUnavailable,
+    ExpertCounts,
+    GroupRanks,
+    OrderEnd,
+    OrderKind,
+    RankAnswer,
+    RankOrder,
+)
 from carobslip.expertmap._placement import (
     GroupLoad,
     Placement,
@@ -27,25 +53,46 @@
     RankState,
     RankSwitch,
 )
+from carobslip.expertmap._switch import GroupSwitch, SwitchResult
 
 __all__ = [
+    'ArmedMap',
+    'BalanceBounds',
+    'BalancePlan',
     'Coordinator',
     'Decision',
+    'EngineControl',
+    'EngineUnavailable',
+    'ExpertCounts',
     'ExpertMap',
+    'GroupLead',
     'GroupLoad',
+    'GroupRanks',
+    'GroupSwitch',
+    'Layout',
+    'LeadSettings',
     'MapVersion',
     'Order',
+    'OrderEnd',
+    'OrderKind',
     'Phase',
     'Placement',
     'PlacementSettings',
     'Promise',
+    'RankAnswer',
     'RankEngine',
+    'RankNews',
+    'RankOrder',
+    'RankReport',
     'RankState',
     'RankSwitch',
     'RankUnreachable',
     'Ranks',
     'SwitchEnd',
+    'SwitchResult',
+    'balance',
     'is_worth_moving',
+    'join_ranks',
     'moved_replicas',
     'place_experts',
     'rank_times',
--- /dev/null
+++ b/src/carobslip/expertmap/_balance.py
@@ -0,0 +1,263 @@
+"""Evens out the load of a group's ranks by copying few experts.
+
+The load it answers: what requests ask of the experts shifts every few
+seconds, and a pass waits, set by set, for the most loaded rank. A switch that
+copies little is in force soon, so many small switches follow the load more
+closely than a few large ones.
+"""
+
+from typing import Final
+
+import msgspec
+
+from carobslip.expertmap import _group_map
+
+#: A high power makes the most loaded rank decide, yet rewards any relief.
+_STRAIN_POWER: Final = 8
+#: Heaviest experts of the most loaded rank that are looked at.
+_EXPERTS_TRIED: Final = 6
+#: Least loaded ranks that are looked at.
+_RANKS_TRIED: Final = 4
+
+
+class BalanceBounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of one new layout.
+
+    Attributes:
+        places_per_rank: Experts of a set that fit on a rank.
+        copies_per_rank: New experts that a rank may get.
+        gain_min: Relative fall of a set's strain that is worth a copy.
+    """
+
+    places_per_rank: int
+    copies_per_rank: int = 1
+    gain_min: float = 0.15
+
+
+class BalancePlan(msgspec.Struct, frozen=True, kw_only=True):
+    """A proposed layout.
+
+    Attributes:
+        layout: Experts by set and rank.
+        copies: Experts that ranks must load.
+        skew_before: Most loaded rank over the mean, averaged over the sets.
+        skew_after: The same under the proposed layout.
+    """
+
+    layout: _group_map.Layout
+    copies: int
+    skew_before: float
+    skew_after: float
+
+
+class _Change(msgspec.Struct, frozen=True):
+    """A copy of an expert to a rank, with what is dropped for it."""
+
+    expert: int
+    to_rank: int
+    dropped: int | None
+    leaves: int | None
+
+
+class _SetState:
+    """One set's experts and loads while a plan is made.
+
+    Args:
+        ranks: Experts by rank.
+        tokens: Load by expert.
+        paces: How slow each rank is.
+    """
+
+    def __init__(
+        self,
+        ranks: tuple[tuple[int, ...], ...],
+        tokens: list[float],
+        paces: list[float],
+    ) -> None:
+        self.ranks = [set(experts) for experts in ranks]
+        self._tokens = tokens
+        self._paces = paces
+        self._holders = [0] * len(tokens)
+        for experts in self.ranks:
+            for expert in experts:
+                self._holders[expert] += 1
+        self.loads = self._current_loads()
+        self.mean = max(sum(self.loads) / len(self.loads), 1e-9)
+
+    @property
+    def skew(self) -> float:
+        """Load of the most loaded rank over the mean."""
+        return max(self.loads) / self.mean
+
+    @property
+    def strain(self) -> float:
+        """What a change has to lower."""
+        return self._strain_of(self.loads)
+
+    def share(self, expert: int) -> float:
+        """Load that each holder of an expert carries for it."""
+        return self._tokens[expert] / self._holders[expert]
+
+    def changes(self, places: int, receivers: list[int]) -> list[_Change]:
+        """Returns changes that relieve the most loaded rank."""
+        worst = self.loads.index(max(self.loads))
+        heavy = sorted(self.ranks[worst], key=self.share, reverse=True)
+        light = sorted(receivers, key=self.loads.__getitem__)
+        return [
+            change
+            for expert in heavy[:_EXPERTS_TRIED]
+            for rank in light[:_RANKS_TRIED]
+            if rank != worst and expert not in self.ranks[rank]
+            for change in self._copies_to(expert, rank, worst, places)
+        ]
+
+    def strain_after(self, change: _Change) -> float:
+        """Returns the strain under a change, without making it."""
+        loads = list(self.loads)
+        self._shift(loads, change.expert, add=change.to_rank)
+        if change.dropped is not None:
+            self._shift(loads, change.dropped, remove=change.to_rank)
+        if change.leaves is not None:
+            loads = self._loads_after_move(change)
+        return self._strain_of(loads)
+
+    def apply(self, change: _Change) -> None:
+        """Makes a change."""
+        self._add(change.expert, change.to_rank)
+        if change.dropped is not None:
+            self._remove(change.dropped, change.to_rank)
+        if change.leaves is not None:
+            self._remove(change.expert, change.leaves)
+        self.loads = self._current_loads()
+
+    def _copies_to(
+        self,
+        expert: int,
+        rank: int,
+        worst: int,
+        places: int,
+    ) -> list[_Change]:
+        dropped: int | None = None
+        if len(self.ranks[rank]) >= places:
+            spare = [one for one in self.ranks[rank] if self._holders[one] > 1]
+            if not spare:
+                return []
+            dropped = min(spare, key=self.share)
+        return [
+            _Change(expert, rank, dropped, None),
+            _Change(expert, rank, dropped, worst),
+        ]
+
+    def _shift(
+        self,
+        loads: list[float],
+        expert: int,
+        *,
+        add: int | None = None,
+        remove: int | None = None,
+    ) -> None:
+        """Updates loads for one holder more or less of an expert."""
+        before = self.share(expert)
+        count = self._holders[expert] + (1 if remove is None else -1)
+        after = self._tokens[expert] / count
+        for rank, experts in enumerate(self.ranks):
+            if expert in experts:
+                loads[rank] += (after - before) * self._paces[rank]
+        if add is not None:
+            loads[add] += after * self._paces[add]
+        if remove is not None:
+            loads[remove] -= after * self._paces[remove]
+
+    def _loads_after_move(self, change: _Change) -> list[float]:
+        loads = list(self.loads)
+        share = self.share(change.expert)
+        if change.leaves is not None:
+            loads[change.leaves] -= share * self._paces[change.leaves]
+        loads[change.to_rank] += share * self._paces[change.to_rank]
+        if change.dropped is not None:
+            self._shift(loads, change.dropped, remove=change.to_rank)
+        return loads
+
+    def _add(self, expert: int, rank: int) -> None:
+        self.ranks[rank].add(expert)
+        self._holders[expert] += 1
+
+    def _remove(self, expert: int, rank: int) -> None:
+        self.ranks[rank].discard(expert)
+        self._holders[expert] -= 1
+
+    def _current_loads(self) -> list[float]:
+        return [
+            pace * sum(self.share(expert) for expert in experts)
+            for experts, pace in zip(self.ranks, self._paces, strict=True)
+        ]
+
+    def _strain_of(self, loads: list[float]) -> float:
+        return sum((load / self.mean) ** _STRAIN_POWER for load in loads)
+
+
+def balance(
+    layout: _group_map.Layout,
+    tokens: list[list[float]],
+    bounds: BalanceBounds,
+    paces: list[float] | None = None,
+) -> BalancePlan | None:
+    """Proposes a layout that relieves the most loaded ranks.
+
+    Args:
+        layout: The layout in force.
+        tokens: Recent load by set and expert.
+        bounds: Bounds of the new layout.
+        paces: How slow each rank is; 1 for the usual pace.
+
+    Returns:
+        None when no change is worth its copies.
+    """
+    ranks_count = len(layout[0])
+    pace_by_rank = paces or [1.0] * ranks_count
+    states = [
+        _SetState(ranks, tokens[index], pace_by_rank)
+        for index, ranks in enumerate(layout)
+    ]
+    before = _mean_skew(states)
+    room = [bounds.copies_per_rank] * ranks_count
+    copies = 0
+    open_states = list(states)
+    while open_states and any(room):
+        state = max(open_states, key=lambda one: one.skew)
+        change = _best_change(state, bounds, room)
+        if change is None:
+            open_states.remove(state)
+            continue
+        state.apply(change)
+        room[change.to_rank] -= 1
+        copies += 1
+    if not copies:
+        return None
+    return BalancePlan(
+        layout=tuple(
+            tuple(tuple(sorted(experts)) for experts in state.ranks)
+            for state in states
+        ),
+        copies=copies,
+        skew_before=before,
+        skew_after=_mean_skew(states),
+    )
+
+
+def _best_change(
+    state: _SetState,
+    bounds: BalanceBounds,
+    room: list[int],
+) -> _Change | None:
+    receivers = [rank for rank, left in enumerate(room) if left > 0]
+    changes = state.changes(bounds.places_per_rank, receivers)
+    if not changes:
+        return None
+    best = min(changes, key=state.strain_after)
+    allowed = state.strain * (1 - bounds.gain_min)
+    return best if state.strain_after(best) < allowed else None
+
+
+def _mean_skew(states: list[_SetState]) -> float:
+    return sum(state.skew for state in states) / len(states)
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -150,6 +150,11 @@
         'group-changed',
         'A lock-step group opened, broke or has another coordinator.',
     )
+    ENGINE_SILENT = (
+        510,
+        'engine-silent',
+        'The engine beside a guard gives no reports any more.',
+    )
     MAP_SWITCHED = (503, 'map-switched', 'A rank runs a new expert map.')
     MAP_ABORTED = (504, 'map-aborted', 'A proposed expert map was given up.')
 
--- a/src/carobslip/processes/__init__.py
+++ b/src/carobslip/processes/__init__.py
@@ -6,6 +6,7 @@
     ForwardingEntry,
     ForwardingEntrySettings,
 )
+from carobslip.processes._group_guard import GroupGuard, GroupGuardSettings
 from carobslip.processes._guard import GuardProcess
 from carobslip.processes._runner import run_process
 
@@ -14,6 +15,8 @@
     'ForwardingAdapters',
     'ForwardingEntry',
     'ForwardingEntrySettings',
+    'GroupGuard',
+    'GroupGuardSettings',
     'GuardProcess',
     'run_process',
 ]
--- /dev/null
+++ b/src/carobslip/processes/_group_guard.py
@@ -0,0 +1,496 @@
+"""The guard process beside an engine of a lock-step group.
+
+Callers reach engines through entries alone, so this guard carries no
+requests. It tells the group's coordinator about its engine, and is that
+coordinator itself when its rank is the lowest one that answers.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+import aiomisc
+import msgspec
+
+from carobslip import (
+    clocks,
+    control,
+    directory,
+    expertmap,
+    fleet,
+    identifiers,
+    membership,
+    observability,
+)
+from carobslip.adapters import control_nng
+
+#: Period of the guard's work. Large groups take longer ones, since their
+#: coordinator hears of every rank over a narrow link.
+_PERIOD_S: Final = 0.1
+_PERIOD_RANKS: Final = 12
+#: A peer that gave no answer for this long is passed over.
+_PASS_OVER_MS: Final = 2000.0
+_SILENCES_MAX: Final = 2
+_PUSH_TIMEOUT_MS: Final = 150.0
+_ORDER_TIMEOUT_MS: Final = 250.0
+#: A copy that takes longer than this many times its own time has failed.
+_COPY_TIMES: Final = 4
+_COPY_LOOK_S: Final = 0.02
+#: Entries hear of the group's load every so many periods.
+_LOAD_PERIODS: Final = 2
+_PROBING: Final = membership.ProberSettings(
+    period_ms=500,
+    timeout_ms=150,
+    suspicion_ms=1000,
+)
+
+
+class GroupGuardSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What a group's guard needs to know about itself.
+
+    Attributes:
+        instance: Name of the process, unique in the fleet.
+        data_centre: Where it runs.
+        control_address: Where it takes control messages.
+        engine_address: Where the engine beside it takes calls.
+        service: What that engine serves.
+        seeds: Control addresses of entries.
+    """
+
+    instance: identifiers.InstanceId
+    data_centre: identifiers.DataCentreId
+    control_address: str
+    engine_address: str
+    service: identifiers.ServiceId
+    seeds: tuple[str, ...] = ()
+
+
+class _NoPlatform:
+    """A guard hears the configuration from entries."""
+
+    async def read_configuration(
+        self,
+        after_version: int,
+        wait_ms: int,
+    ) -> str | None:
+        """Refuses; guards are no readers of the platform."""
+        raise fleet.PlatformUnavailable('guards do not read the platform')
+
+    async def read_instances(self) -> tuple[directory.InstanceRecord, ...]:
+        """Refuses; guards are no readers of the platform."""
+        raise fleet.PlatformUnavailable('guards do not read the platform')
+
+
+class GroupGuard(aiomisc.Service):
+    """Takes part in the switches of its engine's group.
+
+    Args:
+        own: Settings of this process.
+        engine_at: Returns the control of the engine at an address.
+        metrics: Takes counts and times.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: GroupGuardSettings,
+        engine_at: Callable[[str], expertmap.EngineControl],
+        metrics: observability.Metrics,
+    ) -> None:
+        super().__init__()
+        self._own = own
+        self._engine_at = engine_at
+        self._metrics = metrics
+        self._tasks: list[asyncio.Task[None]] = []
+        self._fence = 0
+        self._sequence = 0
+        self._counts: expertmap.ExpertCounts | None = None
+        self._lead: expertmap.GroupLead | None = None
+        self._silences: dict[identifiers.InstanceId, int] = {}
+        self._passed_over_ms: dict[identifiers.InstanceId, float] = {}
+        self._coordinator = ''
+        self._periods = 0
+
+    async def start(self) -> None:
+        """Joins the fleet, then follows the engine."""
+        own = self._own
+        control_nng.limit_threads()
+        self._clock = clocks.SystemClock()
+        self._log = observability.EventLog(instance=own.instance)
+        self._engine = self._engine_at(own.engine_address)
+        self._member = fleet.FleetMember(
+            record=directory.InstanceRecord(
+                instance=own.instance,
+                role=directory.Role.GUARD,
+                data_centre=own.data_centre,
+                http_address=own.engine_address,
+                control_address=own.control_address,
+                service=own.service,
+                target=identifiers.TargetId(own.engine_address),
+            ),
+            transport=control_nng.NngTransport(),
+            platform=_NoPlatform(),
+            clock=self._clock,
+            seeds=own.seeds,
+            generator=random.Random(),
+            log=self._log,
+            times=fleet.FleetTimes(
+                reader_roles=frozenset((directory.Role.ENTRY,)),
+                lists_instances=False,
+            ),
+            probing=_PROBING,
+        )
+        self._member.node.on(control.RankNewsPush, self._on_news)
+        self._member.node.on(control.OrderRank, self._on_order)
+        self._tasks.append(asyncio.ensure_future(self._run()))
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Ends a switch in progress, then stops."""
+        self._log.write(observability.Event.DRAIN_STARTED)
+        for task in self._tasks:
+            task.cancel()
+        if self._lead is not None:
+            await self._lead.close()
+        await self._member.announce_leaving()
+        await self._member.close()
+
+    async def _run(self) -> None:
+        await self._member.join()
+        self._log.write(
+            observability.Event.PROCESS_STARTED,
+            version=self._member.holder.version,
+        )
+        while True:
+            period_s = _PERIOD_S
+            try:
+                report = await self._engine.report()
+                if report is not None:
+                    await self._follow(report)
+                    period_s *= max(1.0, report.size / _PERIOD_RANKS)
+            except expertmap.EngineUnavailable as fault:
+                self._note_engine_silent(str(fault))
+            await asyncio.sleep(period_s)
+
+    def _note_engine_silent(self, fault: str) -> None:
+        self._metrics.count('engine_silent')
+        if self._counts is not None:
+            self._log.write(observability.Event.ENGINE_SILENT, fault=fault)
+        self._counts = None
+
+    async def _follow(self, report: expertmap.RankReport) -> None:
+        """Tells the coordinator about the engine, or coordinates."""
+        self._periods += 1
+        self._renew_record(report)
+        news = expertmap.RankNews(
+            report=report,
+            sequence=self._next_sequence(),
+            counts=await self._new_counts(),
+            address=self._own.engine_address,
+        )
+        coordinator = self._choose_coordinator(report)
+        if coordinator is None:
+            await self._coordinate(report, news)
+        else:
+            await self._push(coordinator, news)
+
+    def _renew_record(self, report: expertmap.RankReport) -> None:
+        record = self._member.record
+        if (record.group, record.rank) != (report.group, report.rank):
+            self._member.renew_record(
+                msgspec.structs.replace(
+                    record,
+                    group=report.group,
+                    rank=report.rank,
+                ),
+            )
+
+    async def _new_counts(self) -> tuple[int, ...]:
+        """Returns the choices since the last call."""
+        before = self._counts
+        now = await self._engine.counts()
+        self._counts = now
+        if before is None or len(before.counts) != len(now.counts):
+            return ()
+        grown = [
+            new - old
+            for old, new in zip(before.counts, now.counts, strict=True)
+        ]
+        # Counts of an engine that has started anew begin at zero.
+        return () if min(grown, default=0) < 0 else tuple(grown)
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _peers(
+        self,
+        group: identifiers.GroupId,
+    ) -> dict[int, directory.InstanceRecord]:
+        """Returns the usable guards of a group by rank, without the own."""
+        return {
+            record.rank: record
+            for record in self._member.fleet.instances()
+            if record.group == group
+            and record.rank is not None
+            and record.instance != self._own.instance
+            and self._member.table.is_usable(record.instance)
+        }
+
+    def _choose_coordinator(
+        self,
+        report: expertmap.RankReport,
+    ) -> directory.InstanceRecord | None:
+        """Returns the lowest rank's guard that answers; None for this one."""
+        now_ms = self._clock.now_ms()
+        chosen: directory.InstanceRecord | None = None
+        for rank, record in sorted(self._peers(report.group).items()):
+            passed_over = self._passed_over_ms.get(record.instance, 0)
+            if rank < report.rank and now_ms >= passed_over:
+                chosen = record
+                break
+        name = self._own.instance if chosen is None else chosen.instance
+        if name != self._coordinator:
+            self._coordinator = name
+            self._log.write(
+                observability.Event.GROUP_CHANGED,
+                group=report.group,
+                epoch=report.epoch,
+                coordinator=name,
+                is_open=report.is_open,
+            )
+        return chosen
+
+    async def _push(
+        self,
+        coordinator: directory.InstanceRecord,
+        news: expertmap.RankNews,
+    ) -> None:
+        self._lead = None
+        name = coordinator.instance
+        try:
+            await self._member.node.ask(
+                coordinator.control_address,
+                control.RankNewsPush(news=news),
+                answer=control.Noted,
+                timeout_ms=_PUSH_TIMEOUT_MS,
+            )
+        except control.PeerUnreachable as fault:
+            silences = self._silences.get(name, 0) + 1
+            self._silences[name] = silences
+            if silences >= _SILENCES_MAX:
+                self._pass_over(coordinator, str(fault))
+            return
+        self._silences[name] = 0
+
+    def _pass_over(
+        self,
+        coordinator: directory.InstanceRecord,
+        fault: str,
+    ) -> None:
+        until_ms = self._clock.now_ms() + _PASS_OVER_MS
+        self._passed_over_ms[coordinator.instance] = until_ms
+        self._log.write(
+            observability.Event.PEER_SILENT,
+            address=coordinator.control_address,
+            fault=fault,
+        )
+
+    async def _coordinate(
+        self,
+        report: expertmap.RankReport,
+        news: expertmap.RankNews,
+    ) -> None:
+        lead = self._lead_of(report)
+        lead.settings = self._lead_settings()
+        lead.hear(news)
+        lead.tick()
+        if self._periods % _LOAD_PERIODS == 0:
+            await self._tell_entries(lead)
+
+    def _lead_of(self, report: expertmap.RankReport) -> expertmap.GroupLead:
+        lead = self._lead
+        if lead is None or lead.group != report.group:
+            lead = expertmap.GroupLead(
+                group=report.group,
+                own_rank=report.rank,
+                ranks=_RanksByControl(self, report.group, report.rank),
+                clock=self._clock,
+                log=self._log,
+            )
+            self._lead = lead
+        return lead
+
+    def _lead_settings(self) -> expertmap.LeadSettings | None:
+        table = self._member.holder.configuration.forwarding
+        for service in table.services:
+            engine = service.engine
+            if service.service != self._own.service or engine is None:
+                continue
+            if engine.expert_sets:
+                return expertmap.LeadSettings(
+                    sets=engine.expert_sets,
+                    experts=engine.experts_per_set,
+                    bounds=expertmap.BalanceBounds(
+                        places_per_rank=engine.places_per_rank,
+                    ),
+                )
+        return None
+
+    async def _tell_entries(self, lead: expertmap.GroupLead) -> None:
+        news = control.GroupLoad(
+            group=lead.group,
+            is_open=lead.is_open,
+            ranks=tuple(
+                control.RankLoad(
+                    address=address,
+                    running=running,
+                    waiting=waiting,
+                )
+                for address, running, waiting in lead.loads()
+            ),
+        )
+        entries = self._member.fleet.entries()
+        await asyncio.gather(
+            *(self._tell_entry(entry, news) for entry in entries),
+        )
+
+    async def _tell_entry(
+        self,
+        entry: directory.InstanceRecord,
+        news: control.GroupLoad,
+    ) -> None:
+        try:
+            await self._member.node.ask(
+                entry.control_address,
+                news,
+                answer=control.Noted,
+                timeout_ms=_PUSH_TIMEOUT_MS,
+            )
+        except control.PeerUnreachable:
+            # Membership finds out whether the entry is gone.
+            self._metrics.count('entry_silent')
+
+    async def _on_news(
+        self,
+        push: control.RankNewsPush,
+        origin: control.Origin,
+    ) -> control.Noted:
+        lead = self._lead
+        if lead is not None and lead.group == push.news.report.group:
+            lead.hear(push.news)
+        return control.Noted()
+
+    async def _on_order(
+        self,
+        request: control.OrderRank,
+        origin: control.Origin,
+    ) -> control.RankOrdered:
+        return control.RankOrdered(answer=await self.order(request.order))
+
+    async def order(self, order: expertmap.RankOrder) -> expertmap.RankAnswer:
+        """Gives an order to the own engine."""
+        if order.fence < self._fence:
+            return expertmap.RankAnswer(
+                end=expertmap.OrderEnd.FENCED,
+                fence=self._fence,
+            )
+        self._fence = order.fence
+        return await give_order(self._engine, order, self._copy_limit_ms())
+
+    def _copy_limit_ms(self) -> float:
+        table = self._member.holder.configuration.forwarding
+        for service in table.services:
+            if service.service == self._own.service and service.engine:
+                return _COPY_TIMES * service.engine.expert_copy_ms
+        return 0.0
+
+    async def order_rank(
+        self,
+        group: identifiers.GroupId,
+        rank: int,
+        order: expertmap.RankOrder,
+    ) -> expertmap.RankAnswer:
+        """Gives an order to another rank, through its guard if it answers."""
+        peer = self._peers(group).get(rank)
+        if peer is None:
+            return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
+        timeout_ms = _ORDER_TIMEOUT_MS
+        if order.kind is expertmap.OrderKind.PREPARE:
+            timeout_ms += self._copy_limit_ms()
+        try:
+            answer = await self._member.node.ask(
+                peer.control_address,
+                control.OrderRank(order=order),
+                answer=control.RankOrdered,
+                timeout_ms=timeout_ms,
+            )
+        except control.PeerUnreachable:
+            # A hold must end even while a guard is away, and engines take
+            # orders from anyone.
+            engine = self._engine_at(peer.http_address)
+            return await give_order(engine, order, self._copy_limit_ms())
+        return answer.answer
+
+
+class _RanksByControl:
+    """Reaches the ranks of a group through their guards."""
+
+    def __init__(
+        self,
+        guard: GroupGuard,
+        group: identifiers.GroupId,
+        own_rank: int,
+    ) -> None:
+        self._guard = guard
+        self._group = group
+        self._own_rank = own_rank
+
+    async def order(
+        self,
+        rank: int,
+        order: expertmap.RankOrder,
+    ) -> expertmap.RankAnswer:
+        """Gives an order to a rank."""
+        if rank == self._own_rank:
+            return await self._guard.order(order)
+        return await self._guard.order_rank(self._group, rank, order)
+
+
+async def give_order(
+    engine: expertmap.EngineControl,
+    order: expertmap.RankOrder,
+    copy_limit_ms: float,
+) -> expertmap.RankAnswer:
+    """Gives an engine an order, and returns its state afterwards.
+
+    Args:
+        engine: The engine.
+        order: What it is told.
+        copy_limit_ms: How long to wait for the copies of a new map.
+    """
+    end = expertmap.OrderEnd.DONE
+    experts: tuple[tuple[int, ...], ...] = ()
+    report: expertmap.RankReport | None = None
+    try:
+        if order.kind is expertmap.OrderKind.REPORT:
+            experts = await engine.experts()
+        else:
+            end = await engine.order(order)
+        report = await engine.report()
+        waits = order.kind is expertmap.OrderKind.PREPARE
+        looks = int(copy_limit_ms / 1000 / _COPY_LOOK_S) if waits else 0
+        while looks > 0 and end is expertmap.OrderEnd.DONE:
+            if report is None or report.prepared == order.version:
+                break
+            looks -= 1
+            await asyncio.sleep(_COPY_LOOK_S)
+            report = await engine.report()
+    except expertmap.EngineUnavailable:
+        end = expertmap.OrderEnd.LOST
+    return expertmap.RankAnswer(
+        end=end,
+        report=report,
+        experts=experts,
+        fence=order.fence,
+    )
