SIGHUP and changed settings files are read instead of ending the process

Change: the signal is ignored until the program has loaded; then it and a look every two seconds read the file again, and bounds are applied.

--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -151,7 +151,7 @@
         self._loads = loads
         self._port = port
         self._is_current = fleet.is_current
-        self._rules = rules
+        self.rules = rules
         self._budget = budget
         self._clock = tools.clock
         self._random = tools.generator
@@ -245,7 +245,7 @@
             return _refuse_soon(_Reason.NO_CONFIGURATION)
         if not self._is_current():
             return _refuse_soon(_Reason.PAUSED)
-        is_old = self._holder.age_ms() > self._rules.key_age_max_ms
+        is_old = self._holder.age_ms() > self.rules.key_age_max_ms
         route = index.find_route(request.host, request.path)
         if route is None:
             # An older table is no proof that the route does not exist.
@@ -477,7 +477,7 @@
         )
         if known is None or known.cold_rps <= 0:
             return 0.0
-        rules = self._rules
+        rules = self.rules
         return known.cold_rps * rules.cold_factor + rules.cold_extra_rps
 
     def _candidates(
--- a/src/carobslip/forwarding/_repeat_budget.py
+++ b/src/carobslip/forwarding/_repeat_budget.py
@@ -42,7 +42,7 @@
         entries: Callable[[], int],
         clock: clocks.Clock,
     ) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._entries = entries
         self._clock = clock
         self._requests: dict[
@@ -73,11 +73,11 @@
         repeats = self._repeats.setdefault(service, collections.deque())
         self._expire(requests)
         self._expire(repeats)
-        share = self._bounds.extra / max(1, self._entries())
-        allowed = _USED_SHARE * (self._bounds.ratio * len(requests) + share)
+        share = self.bounds.extra / max(1, self._entries())
+        allowed = _USED_SHARE * (self.bounds.ratio * len(requests) + share)
         return len(repeats) + 1 <= allowed
 
     def _expire(self, moments: collections.deque[float]) -> None:
-        oldest_ms = self._clock.now_ms() - self._bounds.window_s * 1000
+        oldest_ms = self._clock.now_ms() - self.bounds.window_s * 1000
         while moments and moments[0] < oldest_ms:
             moments.popleft()
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -73,6 +73,11 @@
         'settings-read',
         'The settings file was read, at the start or for a reload.',
     )
+    SETTINGS_REFUSED = (
+        209,
+        'settings-refused',
+        'The settings file is not valid; the settings in use stay.',
+    )
     MEMBER_CHANGED = (
         301,
         'member-changed',
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
-from typing import Final
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final
 
 import aiomisc
 import msgspec
@@ -126,6 +126,11 @@
             generator=generator,
             data_centre=own.data_centre,
         )
+        self._budget = forwarding.RepeatBudget(
+            bounds=own.repeats,
+            entries=self._count_entries,
+            clock=self.clock,
+        )
         self.forwarder = forwarding.Forwarder(
             holder=self.member.holder,
             book=self.book,
@@ -136,11 +141,7 @@
                 is_current=self.member.pause_detector.is_current,
             ),
             rules=own.rules,
-            budget=forwarding.RepeatBudget(
-                bounds=own.repeats,
-                entries=self._count_entries,
-                clock=self.clock,
-            ),
+            budget=self._budget,
             tools=forwarding.Tools(
                 clock=self.clock,
                 generator=generator,
@@ -181,6 +182,19 @@
             task.cancel()
         await self.member.close()
 
+    def apply_bounds(
+        self,
+        rules: forwarding.ForwardingRules,
+        repeats: forwarding.RepeatBounds,
+    ) -> None:
+        """Uses changed bounds of the operators from now on."""
+        self.forwarder.rules = rules
+        self._budget.bounds = repeats
+
+    def run_task(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs work of an adapter until the process stops."""
+        self._tasks.append(asyncio.ensure_future(work))
+
     @property
     def is_stopping(self) -> bool:
         """Tells whether a planned stop has begun."""
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -7,8 +7,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
 
 import aiomisc
 import msgspec
@@ -89,6 +89,7 @@
         own: Settings of this process.
         engine_at: Returns the control of the engine at an address.
         metrics: Takes counts and times.
+        on_started: Called inside the running loop.
     """
 
     def __init__(
@@ -97,8 +98,10 @@
         own: GroupGuardSettings,
         engine_at: Callable[[str], expertmap.EngineControl],
         metrics: observability.Metrics,
+        on_started: Callable[['GroupGuard'], None] = lambda _guard: None,
     ) -> None:
         super().__init__()
+        self._on_started = on_started
         self._own = own
         self._engine_at = engine_at
         self._metrics = metrics
@@ -117,7 +120,7 @@
         own = self._own
         control_nng.limit_threads()
         self._clock = clocks.SystemClock()
-        self._log = observability.EventLog(instance=own.instance)
+        self.log = observability.EventLog(instance=own.instance)
         self._engine = self._engine_at(own.engine_address)
         self._member = fleet.FleetMember(
             record=directory.InstanceRecord(
@@ -134,7 +137,7 @@
             clock=self._clock,
             seeds=own.seeds,
             generator=random.Random(),
-            log=self._log,
+            log=self.log,
             times=fleet.FleetTimes(
                 reader_roles=frozenset((directory.Role.ENTRY,)),
                 lists_instances=False,
@@ -143,11 +146,16 @@
         )
         self._member.node.on(control.RankNewsPush, self._on_news)
         self._member.node.on(control.OrderRank, self._on_order)
-        self._tasks.append(asyncio.ensure_future(self._run()))
+        self.run_task(self._run())
+        self._on_started(self)
+
+    def run_task(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs work of an adapter until the process stops."""
+        self._tasks.append(asyncio.ensure_future(work))
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Ends a switch in progress, then stops."""
-        self._log.write(observability.Event.DRAIN_STARTED)
+        self.log.write(observability.Event.DRAIN_STARTED)
         for task in self._tasks:
             task.cancel()
         if self._lead is not None:
@@ -157,7 +165,7 @@
 
     async def _run(self) -> None:
         await self._member.join()
-        self._log.write(
+        self.log.write(
             observability.Event.PROCESS_STARTED,
             version=self._member.holder.version,
         )
@@ -175,7 +183,7 @@
     def _note_engine_silent(self, fault: str) -> None:
         self._metrics.count('engine_silent')
         if self._counts is not None:
-            self._log.write(observability.Event.ENGINE_SILENT, fault=fault)
+            self.log.write(observability.Event.ENGINE_SILENT, fault=fault)
         self._counts = None
 
     async def _follow(self, report: expertmap.RankReport) -> None:
@@ -252,7 +260,7 @@
         name = self._own.instance if chosen is None else chosen.instance
         if name != self._coordinator:
             self._coordinator = name
-            self._log.write(
+            self.log.write(
                 observability.Event.GROUP_CHANGED,
                 group=report.group,
                 epoch=report.epoch,
@@ -290,7 +298,7 @@
     ) -> None:
         until_ms = self._clock.now_ms() + _PASS_OVER_MS
         self._passed_over_ms[coordinator.instance] = until_ms
-        self._log.write(
+        self.log.write(
             observability.Event.PEER_SILENT,
             address=coordinator.control_address,
             fault=fault,
@@ -316,7 +324,7 @@
                 own_rank=report.rank,
                 ranks=_RanksByControl(self, report.group, report.rank),
                 clock=self._clock,
-                log=self._log,
+                log=self.log,
             )
             self._lead = lead
         return lead
