--- a/src/carobslip/expertmap/_lead.py
+++ b/src/carobslip/expertmap/_lead.py
@@ -11,6 +11,10 @@
 
 #: News older than this say that a rank or its guard is in trouble.
 _NEWS_FRESH_MS: Final = 500.0
+#: A rank whose guard has said nothing for this long is asked itself.
+_SILENCE_MS: Final = 250.0
+#: A group counts as closed when a rank has not been heard of for this long.
+_LOST_RANK_MS: Final = 1000.0
 #: A hold or an armed map that no switch of this coordinator explains is
 #: ended after this time: another coordinator may still be at work.
 _STANDING_MS: Final = 300.0
@@ -93,6 +97,20 @@
         self._fence = clock.wall_ms() // 1000
         self._standing_since_ms: float | None = None
         self._work: asyncio.Task[None] | None = None
+        self._questions: dict[int, asyncio.Task[None]] = {}
+        self._began_ms = clock.now_ms()
+
+    @property
+    def is_broken(self) -> bool:
+        """Tells whether requests to the group would stall."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._began_ms < _LOST_RANK_MS:
+            return False
+        reports = self._reports_since(now_ms - _LOST_RANK_MS)
+        if not reports:
+            return False
+        is_short = len(reports) < reports[0].size
+        return is_short or not all(one.is_open for one in reports)
 
     @property
     def is_open(self) -> bool:
@@ -128,6 +146,7 @@
     def tick(self) -> None:
         """Looks at the group once a period; work goes on in a task."""
         self._forget_older_choices()
+        self._ask_silent_ranks()
         if self._work is not None and not self._work.done():
             return
         settings = self.settings
@@ -145,6 +164,37 @@
         if self._work is not None:
             await self._work
 
+    def _ask_silent_ranks(self) -> None:
+        oldest_ms = self._clock.now_ms() - _SILENCE_MS
+        reports = self._fresh_reports()
+        for rank in range(reports[0].size if reports else 0):
+            heard = self._heard.get(rank)
+            question = self._questions.get(rank)
+            is_asked = question is not None and not question.done()
+            if is_asked or (heard is not None and heard.at_ms >= oldest_ms):
+                continue
+            self._questions[rank] = asyncio.ensure_future(self._ask(rank))
+
+    async def _ask(self, rank: int) -> None:
+        answer = await self._ranks.order(
+            rank,
+            _orders.RankOrder(
+                kind=_orders.OrderKind.REPORT,
+                epoch=self._epoch,
+                fence=self._fence,
+            ),
+        )
+        address = self._ranks.address_of(rank)
+        if answer.report is None or address is None:
+            return
+        news = RankNews(
+            report=answer.report,
+            sequence=0,
+            counts=(),
+            address=address,
+        )
+        self._heard[rank] = _Heard(news, self._clock.now_ms())
+
     async def _act(self, settings: LeadSettings, size: int) -> None:
         layout = self._layout
         if self._has_standing():
@@ -253,7 +303,12 @@
         return now_ms - self._standing_since_ms >= _STANDING_MS
 
     def _fresh_reports(self) -> list[_group_map.RankReport]:
-        oldest_ms = self._clock.now_ms() - _NEWS_FRESH_MS
+        return self._reports_since(self._clock.now_ms() - _NEWS_FRESH_MS)
+
+    def _reports_since(
+        self,
+        oldest_ms: float,
+    ) -> list[_group_map.RankReport]:
         return [
             heard.news.report
             for _rank, heard in sorted(self._heard.items())
--- a/src/carobslip/expertmap/_orders.py
+++ b/src/carobslip/expertmap/_orders.py
@@ -111,4 +111,7 @@
     """Reaches the guards of a group's ranks."""
 
     async def order(self, rank: int, order: RankOrder) -> RankAnswer:
-        """Gives an order to a rank; LOST when its guard does not answer."""
+        """Gives an order to a rank; LOST when nothing answers there."""
+
+    def address_of(self, rank: int) -> str | None:
+        """Returns where the engine of a rank takes calls, if known."""
--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -20,6 +20,7 @@
 
 _START_PEERS: Final = 3
 _START_PAUSE_S: Final = 0.2
+_START_LOOK_S: Final = 0.01
 _RETRY_S: Final = 0.5
 _OFF_DUTY_PERIODS: Final = 20
 _RESTART_PAUSE_S: Final = 1.0
@@ -87,6 +88,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._pushes: set[asyncio.Task[None]] = set()
         self._platform_answered = False
+        self._is_prepared = False
         self.on_configuration: Callable[[], None] = _do_nothing
         self.on_members: Callable[[], None] = _do_nothing
         incarnation = identifiers.Incarnation(clock.wall_ms() * 1000)
@@ -138,9 +140,7 @@
 
         Waits until some configuration has been found.
         """
-        await self.node.start()
-        while not await self._gather_start_state():  # noqa: ASYNC110
-            await asyncio.sleep(_START_PAUSE_S)  # The platform has no signal.
+        await self.prepare()
         self._run_for_ever(self._prober.run)
         if self._reads_platform:
             self._run_for_ever(self._watch_configuration)
@@ -150,6 +150,15 @@
         await self._prober.join()
         await self._prober.push()
 
+    async def prepare(self) -> None:
+        """Starts to answer peers, and waits for some configuration."""
+        if self._is_prepared:
+            return
+        self._is_prepared = True
+        await self.node.start()
+        while not await self._gather_start_state():  # noqa: ASYNC110
+            await asyncio.sleep(_START_PAUSE_S)  # The platform has no signal.
+
     def renew_record(self, record: directory.InstanceRecord) -> None:
         """Spreads a changed record of this process."""
         self.record = record
@@ -180,7 +189,13 @@
     async def _gather_start_state(self) -> bool:
         if self._times.lists_instances:
             await self._read_list()
-        await self.refresh()
+        # The first answer that brings a configuration ends the waiting; what
+        # is asked goes on, and a higher version is adopted when it comes.
+        refresh = asyncio.ensure_future(self.refresh())
+        self._pushes.add(refresh)
+        refresh.add_done_callback(self._pushes.discard)
+        while not refresh.done() and not self._platform_answered:
+            await asyncio.wait([refresh], timeout=_START_LOOK_S)
         return self.holder.version > 0
 
     @property
--- a/src/carobslip/fleet/_pause_detector.py
+++ b/src/carobslip/fleet/_pause_detector.py
@@ -26,20 +26,25 @@
     ) -> None:
         self._clock = clock
         self._on_pause = on_pause
-        self._last_tick_ms = clock.now_ms()
+        self._last_tick_ms: float | None = None
 
     def is_current(self) -> bool:
         """Tells whether the process has been running without a pause.
 
-        False from the moment of waking up until the callback has ended.
+        False from the moment of waking up until the callback has ended. Before
+        the first tick nothing is believed that could be out of date.
         """
+        if self._last_tick_ms is None:
+            return True
         return self._clock.now_ms() - self._last_tick_ms < _PAUSE_MS
 
     async def run(self) -> None:
         """Ticks for ever; one task."""
+        last_ms = self._clock.now_ms()
         while True:
+            self._last_tick_ms = last_ms
             await asyncio.sleep(_TICK_MS / 1000)
-            gap_ms = self._clock.now_ms() - self._last_tick_ms
+            gap_ms = self._clock.now_ms() - last_ms
             if gap_ms >= _PAUSE_MS:
                 await self._on_pause(gap_ms)
-            self._last_tick_ms = self._clock.now_ms()
+            last_ms = self._clock.now_ms()
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -1,6 +1,7 @@
 """The way of one forwarded request, from its route to its whole answer."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from typing import Final
@@ -43,6 +44,8 @@
 _UNSENT_TRIES_MAX: Final = 3
 #: A caller that meets an entry without current beliefs comes back soon.
 _RETRY_SOON_MS: Final = 500
+#: A process that has just started knows its configuration within this time.
+_START_WAIT_MS: Final = 300.0
 #: A group whose rank is lost stalls for about this long.
 _GROUP_STALL_MS: Final = 1500.0
 
@@ -158,6 +161,7 @@
         self._log = tools.log
         self._metrics = tools.metrics
         self._index: _table.ForwardingIndex | None = None
+        self._configured = asyncio.Event()
         self.in_progress = 0
         self.admission = _admission.Admission(
             loads=loads,
@@ -178,6 +182,7 @@
                 if entry.data_centre is not None
             ),
         )
+        self._configured.set()
         self.admission.wake_all()
 
     @property
@@ -207,6 +212,8 @@
             RAN when a target's whole answer was passed on, an error of the
             target included; otherwise what the caller must be told.
         """
+        if self._index is None:
+            await self._wait_for_configuration(request)
         work = self._prepare(request, caller)
         if isinstance(work, verdicts.Outcome):
             self._note_refused(request, work)
@@ -234,6 +241,16 @@
         self._note_end(work, outcome)
         return outcome
 
+    async def _wait_for_configuration(
+        self,
+        request: _request.ForwardRequest,
+    ) -> None:
+        """Holds a request for the moment that a start takes."""
+        wait_ms = min(_START_WAIT_MS, request.patience_ms / 4)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._configured.wait()
+
     def _prepare(
         self,
         request: _request.ForwardRequest,
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -32,8 +32,13 @@
 #: A waiting read of the configuration returns after this time at the latest;
 #: the age of the configuration is known as exactly as that.
 _WATCH_MS: Final = 1000
-_LIST_WAIT_S: Final = 0.1
-_PEER_TIMEOUT_MS: Final = 500.0
+#: The list is waited for at this interval; peers are asked for theirs when it
+#: has not come after so many looks.
+_LIST_LOOK_S: Final = 0.01
+_LOOKS_PER_ASK: Final = 40
+_PEER_TIMEOUT_MS: Final = 250.0
+#: Targets of a group that does not work are avoided until the next news.
+_GROUP_AVOID_MS: Final = 500.0
 
 
 class ForwardingEntrySettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -273,7 +278,10 @@
         )
 
     async def _join(self) -> None:
-        await self._wait_for_targets()
+        await asyncio.gather(
+            self.member.prepare(),
+            self._wait_for_targets(),
+        )
         await self.member.join()
         self.log.write(
             observability.Event.PROCESS_STARTED,
@@ -283,11 +291,15 @@
 
     async def _wait_for_targets(self) -> None:
         """Waits until the list or a peer has named targets."""
+        seeds = set(self.own.seeds) - {self.own.control_address}
+        looks = 0
         while len(self.book) == 0:
-            for seed in self.own.seeds:
-                if seed != self.own.control_address:
-                    await self._ask_for_targets(seed)
-            await asyncio.sleep(_LIST_WAIT_S)
+            await asyncio.sleep(_LIST_LOOK_S)
+            looks += 1
+            if looks % _LOOKS_PER_ASK == 0:
+                await asyncio.gather(
+                    *(self._ask_for_targets(seed) for seed in seeds),
+                )
 
     async def _ask_for_targets(self, address: str) -> None:
         try:
@@ -336,7 +348,10 @@
         }
         for rank in news.ranks:
             target = by_address.get(rank.address)
-            if target is not None:
-                self.loads.note_total(target, rank.running + rank.waiting)
+            if target is None:
+                continue
+            self.loads.note_total(target, rank.running + rank.waiting)
+            if not news.is_open:
+                self.loads.avoid(target, _GROUP_AVOID_MS)
         self.forwarder.admission.wake_all()
         return control.Noted()
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -348,7 +348,7 @@
     async def _tell_entries(self, lead: expertmap.GroupLead) -> None:
         news = control.GroupLoad(
             group=lead.group,
-            is_open=lead.is_open,
+            is_open=not lead.is_broken,
             ranks=tuple(
                 control.RankLoad(
                     address=address,
@@ -420,9 +420,11 @@
         order: expertmap.RankOrder,
     ) -> expertmap.RankAnswer:
         """Gives an order to another rank, through its guard if it answers."""
-        peer = self._peers(group).get(rank)
+        peer = self._find_rank(group, rank)
         if peer is None:
             return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
+        if self._clock.now_ms() < self._passed_over_ms.get(peer.instance, 0):
+            return await self._order_directly(peer, order)
         timeout_ms = _ORDER_TIMEOUT_MS
         if order.kind is expertmap.OrderKind.PREPARE:
             timeout_ms += self._copy_limit_ms()
@@ -433,13 +435,44 @@
                 answer=control.RankOrdered,
                 timeout_ms=timeout_ms,
             )
-        except control.PeerUnreachable:
-            # A hold must end even while a guard is away, and engines take
-            # orders from anyone.
-            engine = self._engine_at(peer.http_address)
-            return await give_order(engine, order, self._copy_limit_ms())
+        except control.PeerUnreachable as fault:
+            self._pass_over(peer, str(fault))
+            return await self._order_directly(peer, order)
         return answer.answer
 
+    def address_of(
+        self,
+        group: identifiers.GroupId,
+        rank: int,
+    ) -> str | None:
+        """Returns where the engine of a rank takes calls, if known."""
+        peer = self._find_rank(group, rank)
+        return None if peer is None else peer.http_address
+
+    def _find_rank(
+        self,
+        group: identifiers.GroupId,
+        rank: int,
+    ) -> directory.InstanceRecord | None:
+        """Returns a rank's guard, even one that is believed dead."""
+        usable = self._peers(group).get(rank)
+        if usable is not None:
+            return usable
+        for record in self._member.fleet.instances():
+            if (record.group, record.rank) == (group, rank):
+                return record
+        return None
+
+    async def _order_directly(
+        self,
+        peer: directory.InstanceRecord,
+        order: expertmap.RankOrder,
+    ) -> expertmap.RankAnswer:
+        # A hold must end even while a guard is away, and engines take orders
+        # from anyone.
+        engine = self._engine_at(peer.http_address)
+        return await give_order(engine, order, self._copy_limit_ms())
+
 
 class _RanksByControl:
     """Reaches the ranks of a group through their guards."""
@@ -464,6 +497,10 @@
             return await self._guard.order(order)
         return await self._guard.order_rank(self._group, rank, order)
 
+    def address_of(self, rank: int) -> str | None:
+        """Returns where the engine of a rank takes calls, if known."""
+        return self._guard.address_of(self._group, rank)
+
 
 async def give_order(
     engine: expertmap.EngineControl,
