--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -471,7 +471,15 @@
         # A hold must end even while a guard is away, and engines take orders
         # from anyone.
         engine = self._engine_at(peer.http_address)
-        return await give_order(engine, order, self._copy_limit_ms())
+        answer = await give_order(engine, order, self._copy_limit_ms())
+        if answer.end is expertmap.OrderEnd.LOST:
+            self.log.write(
+                observability.Event.ENGINE_SILENT,
+                address=peer.http_address,
+                order=order.kind.value,
+                is_direct=True,
+            )
+        return answer
 
 
 class _RanksByControl:
