--- a/src/carobslip/expertmap/_lead.py
+++ b/src/carobslip/expertmap/_lead.py
@@ -17,7 +17,7 @@
 _LOST_RANK_MS: Final = 1000.0
 #: A hold or an armed map that no switch of this coordinator explains is
 #: ended after this time: another coordinator may still be at work.
-_STANDING_MS: Final = 300.0
+_STANDING_MS: Final = 200.0
 #: Part of the older choices that still counts after one period; what is asked
 #: of experts shifts every few seconds.
 _KEPT_SHARE: Final = 0.3
@@ -150,8 +150,11 @@
         if self._work is not None and not self._work.done():
             return
         settings = self.settings
-        if settings is None or not self.is_open:
+        if settings is None:
+            return
+        if not self.is_open:
             self._layout = None
+            self._end_standing()
             return
         report = self._fresh_reports()[0]
         if report.epoch != self._epoch:
@@ -164,6 +167,16 @@
         if self._work is not None:
             await self._work
 
+    def _end_standing(self) -> None:
+        """Ends a hold although not all ranks are heard of."""
+        reports = self._fresh_reports()
+        if not reports or not self._has_standing():
+            return
+        self._epoch = reports[0].epoch
+        self._work = asyncio.ensure_future(
+            self._run_switch(reports[0].size, None, None),
+        )
+
     def _ask_silent_ranks(self) -> None:
         oldest_ms = self._clock.now_ms() - _SILENCE_MS
         reports = self._fresh_reports()
@@ -228,8 +241,6 @@
     ) -> None:
         if layout is None:
             layout = await self._ask_layout(size)
-        if layout is None:
-            return
         began_ms = self._clock.now_ms()
         switch = _switch.GroupSwitch(
             ranks=self._ranks,
@@ -239,7 +250,7 @@
             fence=self._fence,
             clock=self._clock,
         )
-        if plan is None:
+        if plan is None or layout is None:
             result = await switch.recover(layout)
         else:
             result = await switch.switch(plan.layout, layout)
--- a/src/carobslip/expertmap/_orders.py
+++ b/src/carobslip/expertmap/_orders.py
@@ -42,6 +42,7 @@
         kind: What to do.
         epoch: The order is for this epoch of the group only.
         fence: Number of the coordinator; engines refuse lower ones.
+        lead_rank: Rank of the coordinator, which arms itself last.
         version: The map that is meant.
         step: The pass that is meant.
         layout: The whole layout of a map to prepare.
@@ -50,6 +51,7 @@
     kind: OrderKind
     epoch: int
     fence: int
+    lead_rank: int = 0
     version: int = 0
     step: int = 0
     layout: _group_map.Layout = ()
@@ -63,12 +65,14 @@
         report: The engine's report; None if it gave none.
         experts: Experts of this rank by set, in use; asked for with REPORT.
         fence: Highest number of a coordinator known at the rank.
+        lead_rank: Rank of the last coordinator that changed something.
     """
 
     end: OrderEnd
     report: _group_map.RankReport | None = None
     experts: tuple[tuple[int, ...], ...] = ()
     fence: int = 0
+    lead_rank: int | None = None
 
 
 class ExpertCounts(msgspec.Struct, frozen=True, kw_only=True):
@@ -110,8 +114,20 @@
 class GroupRanks(Protocol):
     """Reaches the guards of a group's ranks."""
 
-    async def order(self, rank: int, order: RankOrder) -> RankAnswer:
-        """Gives an order to a rank; LOST when nothing answers there."""
+    async def order(
+        self,
+        rank: int,
+        order: RankOrder,
+        *,
+        directly: bool = False,
+    ) -> RankAnswer:
+        """Gives an order to a rank; LOST when nothing answers there.
+
+        Args:
+            rank: Which rank.
+            order: What its engine is told.
+            directly: Past the rank's guard.
+        """
 
     def address_of(self, rank: int) -> str | None:
         """Returns where the engine of a rank takes calls, if known."""
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import enum
-from collections.abc import Sequence
 from typing import Final
 
 from carobslip import clocks
@@ -22,6 +21,8 @@
 #: Arming is repeated for this long at ranks that gave no answer; a hold that
 #: lasts longer costs more than the switch gains.
 _ARM_TRIES_MS: Final = 600.0
+#: Other ranks that were armed longer ago are not trusted to be armed still.
+_ARM_FRESH_MS: Final = 800.0
 _ARM_PAUSE_S: Final = 0.02
 #: The pass of a switch is looked for this often; a busy group begins one
 #: within a tenth of a second.
@@ -53,10 +54,15 @@
 class GroupSwitch:
     """Gives the orders of switches in one epoch of a group.
 
+    The group is held at another rank than the coordinator's, so that a hold
+    can be ended while the coordinator's machine hangs. The coordinator's own
+    rank is armed last: as long as any other rank is not armed, that one is
+    not either, even if it cannot be asked.
+
     Args:
         ranks: Reaches the ranks.
         size: Ranks in the group.
-        own_rank: Where the group is held, next to this coordinator.
+        own_rank: The coordinator's rank.
         epoch: The group's epoch.
         fence: This coordinator's number.
         clock: Monotonic time.
@@ -75,6 +81,7 @@
         self._ranks = ranks
         self._size = size
         self._own_rank = own_rank
+        self._hold_rank = (own_rank + 1) % size
         self._epoch = epoch
         self._fence = fence
         self._clock = clock
@@ -97,11 +104,14 @@
         except _Superseded:
             return SwitchResult.SUPERSEDED
 
-    async def recover(self, present: _group_map.Layout) -> SwitchResult:
+    async def recover(
+        self,
+        present: _group_map.Layout | None,
+    ) -> SwitchResult:
         """Ends what another coordinator has left standing.
 
         Args:
-            present: What the ranks hold now.
+            present: What the ranks hold now, if that is known.
         """
         try:
             return await self._recover(present)
@@ -113,55 +123,84 @@
         layout: _group_map.Layout,
         present: _group_map.Layout,
     ) -> SwitchResult:
-        reports = await self._reports()
-        if any(report.held or report.armed for report in reports):
+        answers = await self._ask_all()
+        reports = [answer.report for answer in answers.values()]
+        if len(reports) < self._size:
             return SwitchResult.KEPT
-        version = self._next_version(reports)
+        if any(one and (one.held or one.armed) for one in reports):
+            return SwitchResult.KEPT
+        version = self._next_version(answers)
         if not await self._prepare(version, layout):
             return SwitchResult.KEPT
-        step = await self._hold(version)
+        step = await self._hold()
         if step is None:
             return SwitchResult.KEPT
         if await self._arm(version, step):
-            await self._go(step)
+            await self._go(step, set())
             return await self._wait_for_pass(version)
-        await self._undo(version, step, present)
+        await self._undo(version, present, set())
+        await self._go(step, set())
         return SwitchResult.KEPT
 
     async def _recover(
         self,
-        present: _group_map.Layout,
+        present: _group_map.Layout | None,
     ) -> SwitchResult:
-        await self._take_holds(await self._reports())
-        reports = await self._reports()
-        held = [report.held for report in reports if report.held is not None]
-        armed = [report.armed for report in reports if report.armed]
-        if not held and not armed:
+        await self._take_holds(await self._ask_all())
+        answers = await self._ask_all()
+        reports = [one.report for one in answers.values() if one.report]
+        absent = set(range(self._size)) - set(answers)
+        steps = {one.held for one in reports if one.held is not None}
+        armed = [one.armed for one in reports if one.armed is not None]
+        if not steps and not armed:
             return SwitchResult.KEPT
-        first = armed[0] if armed else None
-        if len(armed) == self._size and all(one == first for one in armed):
-            for step in set(held):
-                await self._go(step)
+        if len(armed) == len(reports) and len(set(armed)) == 1:
+            if absent:
+                # Whether the absent rank is armed too cannot be told.
+                return SwitchResult.KEPT
+            await self._go_all(steps, absent)
             return SwitchResult.ARMED
-        version = 0 if first is None else first.version
-        for step in set(held) or {0}:
-            await self._undo(version, step, present)
+        if absent and not self._is_certainly_disarmed(absent, answers):
+            return SwitchResult.KEPT
+        for version in {one.version for one in armed} or {0}:
+            await self._undo(version, present, absent)
+        if absent and not any(one.running for one in reports):
+            # The absent rank could be armed until the pass begins, and an
+            # idle group begins none.
+            return SwitchResult.KEPT
+        await self._go_all(steps, absent)
         return SwitchResult.KEPT
 
+    def _is_certainly_disarmed(
+        self,
+        absent: set[int],
+        answers: dict[int, _orders.RankAnswer],
+    ) -> bool:
+        """Tells whether the absent rank was the one that is armed last."""
+        leads = {
+            answer.lead_rank
+            for answer in answers.values()
+            if answer.lead_rank is not None
+        }
+        return leads == absent
+
     async def _take_holds(
         self,
-        reports: Sequence[_group_map.RankReport],
+        answers: dict[int, _orders.RankAnswer],
     ) -> None:
         """Makes sure that nobody else can end a hold.
 
         A coordinator that still lives might let the group go while this one
         disarms ranks. Repeating its hold under a higher number prevents that.
         """
-        for report in reports:
-            if report.held is not None:
+        for rank, answer in answers.items():
+            if answer.report is not None and answer.report.held is not None:
                 await self._give(
-                    report.rank,
-                    self._order(_orders.OrderKind.HOLD, step=report.held),
+                    rank,
+                    self._order(
+                        _orders.OrderKind.HOLD,
+                        step=answer.report.held,
+                    ),
                 )
 
     async def _prepare(
@@ -175,43 +214,60 @@
                 version=version,
                 layout=layout,
             ),
+            set(),
         )
         return all(
             answer.report is not None and answer.report.prepared == version
             for answer in answers
         )
 
-    async def _hold(self, version: int) -> int | None:
-        """Holds a near pass at the own rank; returns its number."""
+    async def _hold(self) -> int | None:
+        """Holds a near pass; returns its number."""
         for _try in range(_HOLD_TRIES):
             report = await self._report_of(self._own_rank)
             if report is None:
                 return None
             step = report.step + _STEP_MARGIN
             answer = await self._give(
-                self._own_rank,
+                self._hold_rank,
                 self._order(_orders.OrderKind.HOLD, step=step),
+                directly=True,
             )
             if answer.report is not None and answer.report.held == step:
                 return step
             if answer.end is _orders.OrderEnd.LOST:
                 # It may land later: a hold must not be left standing.
-                await self._go(step)
+                await self._go(step, set())
                 return None
         return None
 
     async def _arm(self, version: int, step: int) -> bool:
-        """Arms every rank; True when all of them have confirmed it."""
+        """Arms every rank, the own one last; True when all are armed."""
+        began_ms = self._clock.now_ms()
+        others = set(range(self._size)) - {self._own_rank}
+        if not await self._arm_ranks(others, version, step):
+            return False
+        if self._clock.now_ms() - began_ms > _ARM_FRESH_MS:
+            # After a pause the other ranks may have been disarmed since.
+            return False
+        return await self._arm_ranks({self._own_rank}, version, step)
+
+    async def _arm_ranks(
+        self,
+        ranks: set[int],
+        version: int,
+        step: int,
+    ) -> bool:
         order = self._order(_orders.OrderKind.ARM, version=version, step=step)
         wanted = _group_map.ArmedMap(version=version, step=step)
-        missing = set(range(self._size))
+        missing = set(ranks)
         until_ms = self._clock.now_ms() + _ARM_TRIES_MS
         while missing and self._clock.now_ms() < until_ms:
-            ranks = sorted(missing)
+            asked = sorted(missing)
             answers = await asyncio.gather(
-                *(self._give(rank, order) for rank in ranks),
+                *(self._give(rank, order) for rank in asked),
             )
-            for rank, answer in zip(ranks, answers, strict=True):
+            for rank, answer in zip(asked, answers, strict=True):
                 if answer.report is not None and answer.report.armed == wanted:
                     missing.discard(rank)
                 elif answer.end is _orders.OrderEnd.REFUSED:
@@ -232,42 +288,55 @@
     async def _undo(
         self,
         version: int,
-        step: int,
-        present: _group_map.Layout,
+        present: _group_map.Layout | None,
+        absent: set[int],
     ) -> None:
-        """Disarms every rank for good, then ends the hold.
+        """Disarms every rank for good.
 
         An arming that was lost may still be carried out. Preparing another
         map, equal to the one in use and thus without a copy, makes the engine
         refuse it: the version is no longer prepared.
         """
         for _try in range(_UNDO_TRIES):
-            reports = await self._known_reports()
-            neutral = self._next_version(reports)
-            disarm = self._order(
-                _orders.OrderKind.DISARM,
-                version=version,
-            )
             if version:
-                await self._order_all(disarm)
-            answers = await self._order_all(
-                self._order(
-                    _orders.OrderKind.PREPARE,
-                    version=neutral,
-                    layout=present,
-                ),
-            )
-            if all(_is_neutral(answer, neutral) for answer in answers):
-                break
+                await self._order_all(
+                    self._order(_orders.OrderKind.DISARM, version=version),
+                    absent,
+                )
+            answers = await self._ask_all()
+            neutral = 0
+            if present is not None:
+                neutral = self._next_version(answers)
+                prepared = await self._order_all(
+                    self._order(
+                        _orders.OrderKind.PREPARE,
+                        version=neutral,
+                        layout=present,
+                    ),
+                    absent,
+                )
+            else:
+                prepared = [
+                    answer
+                    for rank, answer in answers.items()
+                    if rank not in absent
+                ]
+            wanted = self._size - len(absent)
+            neutrals = [_is_neutral(one, neutral) for one in prepared]
+            if len(neutrals) == wanted and all(neutrals):
+                return
             await asyncio.sleep(_UNDO_PAUSE_S)
-        if step:
-            await self._go(step)
+        raise _Superseded
 
-    async def _go(self, step: int) -> None:
+    async def _go_all(self, steps: set[int], absent: set[int]) -> None:
+        for step in steps:
+            await self._go(step, absent)
+
+    async def _go(self, step: int, absent: set[int]) -> None:
         """Ends a hold wherever it stands, until no rank reports it."""
         order = self._order(_orders.OrderKind.GO, step=step)
         for _try in range(_UNDO_TRIES):
-            answers = await self._order_all(order)
+            answers = await self._order_all(order, absent)
             stands = [
                 answer.report is None or answer.report.held == step
                 for answer in answers
@@ -288,6 +357,7 @@
             kind=kind,
             epoch=self._epoch,
             fence=self._fence,
+            lead_rank=self._own_rank,
             version=version,
             step=step,
             layout=layout,
@@ -296,18 +366,22 @@
     async def _order_all(
         self,
         order: _orders.RankOrder,
+        absent: set[int],
     ) -> list[_orders.RankAnswer]:
+        ranks = [rank for rank in range(self._size) if rank not in absent]
         return await asyncio.gather(
-            *(self._give(rank, order) for rank in range(self._size)),
+            *(self._give(rank, order) for rank in ranks),
         )
 
     async def _give(
         self,
         rank: int,
         order: _orders.RankOrder,
+        *,
+        directly: bool = False,
     ) -> _orders.RankAnswer:
         """Gives an order; raises _Superseded when it is not ours to give."""
-        answer = await self._ranks.order(rank, order)
+        answer = await self._ranks.order(rank, order, directly=directly)
         self.fence_seen = max(self.fence_seen, answer.fence)
         if answer.end is _orders.OrderEnd.FENCED:
             raise _Superseded
@@ -326,29 +400,28 @@
         )
         return answer.report
 
-    async def _reports(self) -> list[_group_map.RankReport]:
-        """Returns all reports; raises _Superseded if one is missing."""
-        reports = await self._known_reports()
-        if len(reports) < self._size:
-            raise _Superseded
-        return reports
-
-    async def _known_reports(self) -> list[_group_map.RankReport]:
+    async def _ask_all(self) -> dict[int, _orders.RankAnswer]:
+        """Returns the answers of the ranks that report."""
         answers = await self._order_all(
             self._order(_orders.OrderKind.REPORT),
+            set(),
         )
-        return [
-            answer.report for answer in answers if answer.report is not None
-        ]
+        return {
+            rank: answer
+            for rank, answer in enumerate(answers)
+            if answer.report is not None
+        }
 
     def _next_version(
         self,
-        reports: Sequence[_group_map.RankReport],
+        answers: dict[int, _orders.RankAnswer],
     ) -> int:
         """Returns a version that no coordinator has used for another map."""
         known = [self._version]
-        for report in reports:
-            known += [report.map_version, report.prepared or 0]
+        for answer in answers.values():
+            if answer.report is not None:
+                known.append(answer.report.map_version)
+                known.append(answer.report.prepared or 0)
         base = (max(known) // _VERSION_STEP + 1) * _VERSION_STEP
         self._version = base + self._own_rank
         return self._version
@@ -359,4 +432,4 @@
     report = answer.report
     if report is None:
         return False
-    return report.armed is None and report.prepared == version
+    return report.armed is None and version in {0, report.prepared}
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -32,7 +32,7 @@
 #: A peer that gave no answer for this long is passed over.
 _PASS_OVER_MS: Final = 2000.0
 _SILENCES_MAX: Final = 2
-_PUSH_TIMEOUT_MS: Final = 150.0
+_PUSH_TIMEOUT_MS: Final = 100.0
 _ORDER_TIMEOUT_MS: Final = 250.0
 #: A copy that takes longer than this many times its own time has failed.
 _COPY_TIMES: Final = 4
@@ -107,6 +107,7 @@
         self._metrics = metrics
         self._tasks: list[asyncio.Task[None]] = []
         self._fence = 0
+        self._lead_rank: int | None = None
         self._sequence = 0
         self._counts: expertmap.ExpertCounts | None = None
         self._lead: expertmap.GroupLead | None = None
@@ -404,7 +405,10 @@
                 fence=self._fence,
             )
         self._fence = order.fence
-        return await give_order(self._engine, order, self._copy_limit_ms())
+        if order.kind is not expertmap.OrderKind.REPORT:
+            self._lead_rank = order.lead_rank
+        answer = await give_order(self._engine, order, self._copy_limit_ms())
+        return msgspec.structs.replace(answer, lead_rank=self._lead_rank)
 
     def _copy_limit_ms(self) -> float:
         table = self._member.holder.configuration.forwarding
@@ -418,12 +422,15 @@
         group: identifiers.GroupId,
         rank: int,
         order: expertmap.RankOrder,
+        *,
+        directly: bool,
     ) -> expertmap.RankAnswer:
         """Gives an order to another rank, through its guard if it answers."""
         peer = self._find_rank(group, rank)
         if peer is None:
             return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
-        if self._clock.now_ms() < self._passed_over_ms.get(peer.instance, 0):
+        passed_over = self._passed_over_ms.get(peer.instance, 0)
+        if directly or self._clock.now_ms() < passed_over:
             return await self._order_directly(peer, order)
         timeout_ms = _ORDER_TIMEOUT_MS
         if order.kind is expertmap.OrderKind.PREPARE:
@@ -499,11 +506,18 @@
         self,
         rank: int,
         order: expertmap.RankOrder,
+        *,
+        directly: bool = False,
     ) -> expertmap.RankAnswer:
         """Gives an order to a rank."""
         if rank == self._own_rank:
             return await self._guard.order(order)
-        return await self._guard.order_rank(self._group, rank, order)
+        return await self._guard.order_rank(
+            self._group,
+            rank,
+            order,
+            directly=directly,
+        )
 
     def address_of(self, rank: int) -> str | None:
         """Returns where the engine of a rank takes calls, if known."""
