--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -233,7 +233,7 @@
                 self._order(_orders.OrderKind.HOLD, step=step),
                 directly=True,
             )
-            if answer.report is not None and answer.report.held == step:
+            if answer.end is _orders.OrderEnd.DONE:
                 return step
             if answer.end is _orders.OrderEnd.LOST:
                 # It may land later: a hold must not be left standing.
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -37,6 +37,8 @@
 #: A copy that takes longer than this many times its own time has failed.
 _COPY_TIMES: Final = 4
 _COPY_LOOK_S: Final = 0.02
+#: Engines tell other machines than their own what was true this long ago.
+_REPORT_LAG_S: Final = 0.25
 #: Entries hear of the group's load every so many periods.
 _LOAD_PERIODS: Final = 2
 _PROBING: Final = membership.ProberSettings(
@@ -478,7 +480,12 @@
         # A hold must end even while a guard is away, and engines take orders
         # from anyone.
         engine = self._engine_at(peer.http_address)
-        answer = await give_order(engine, order, self._copy_limit_ms())
+        answer = await give_order(
+            engine,
+            order,
+            self._copy_limit_ms(),
+            report_lag_s=_REPORT_LAG_S,
+        )
         if answer.end is expertmap.OrderEnd.LOST:
             self.log.write(
                 observability.Event.ENGINE_SILENT,
@@ -528,6 +535,8 @@
     engine: expertmap.EngineControl,
     order: expertmap.RankOrder,
     copy_limit_ms: float,
+    *,
+    report_lag_s: float = 0,
 ) -> expertmap.RankAnswer:
     """Gives an engine an order, and returns its state afterwards.
 
@@ -535,6 +544,8 @@
         engine: The engine.
         order: What it is told.
         copy_limit_ms: How long to wait for the copies of a new map.
+        report_lag_s: Reports to this machine are as old as this; an order's
+            effect shows only after that time.
     """
     end = expertmap.OrderEnd.DONE
     experts: tuple[tuple[int, ...], ...] = ()
@@ -544,6 +555,9 @@
             experts = await engine.experts()
         else:
             end = await engine.order(order)
+        if order.kind is expertmap.OrderKind.HOLD and report_lag_s:
+            return expertmap.RankAnswer(end=end, fence=order.fence)
+        await asyncio.sleep(report_lag_s)
         report = await engine.report()
         waits = order.kind is expertmap.OrderKind.PREPARE
         looks = int(copy_limit_ms / 1000 / _COPY_LOOK_S) if waits else 0
