--- a/src/carobslip/expertmap/_lead.py
+++ b/src/carobslip/expertmap/_lead.py
@@ -268,6 +268,7 @@
             group=self.group,
             epoch=self._epoch,
             result=result.value,
+            why=switch.why,
             fence=self._fence,
             copies=0 if plan is None else plan.copies,
             skew_before=0 if plan is None else round(plan.skew_before, 2),
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -87,6 +87,7 @@
         self._clock = clock
         self._version = 0
         self.fence_seen = fence
+        self.why = ''
 
     async def switch(
         self,
@@ -126,18 +127,23 @@
         answers = await self._ask_all()
         reports = [answer.report for answer in answers.values()]
         if len(reports) < self._size:
+            self.why = 'not all ranks report'
             return SwitchResult.KEPT
         if any(one and (one.held or one.armed) for one in reports):
+            self.why = 'another switch stands'
             return SwitchResult.KEPT
         version = self._next_version(answers)
         if not await self._prepare(version, layout):
+            self.why = 'not all ranks prepared'
             return SwitchResult.KEPT
         step = await self._hold()
         if step is None:
+            self.why = 'not held'
             return SwitchResult.KEPT
         if await self._arm(version, step):
             await self._go(step, set())
             return await self._wait_for_pass(version)
+        self.why = 'not all ranks armed'
         await self._undo(version, present, set())
         await self._go(step, set())
         return SwitchResult.KEPT
@@ -157,18 +163,22 @@
         if len(armed) == len(reports) and len(set(armed)) == 1:
             if absent:
                 # Whether the absent rank is armed too cannot be told.
+                self.why = f'all but {sorted(absent)} are armed'
                 return SwitchResult.KEPT
             await self._go_all(steps, absent)
             return SwitchResult.ARMED
         if absent and not self._is_certainly_disarmed(absent, answers):
+            self.why = f'{sorted(absent)} cannot be asked'
             return SwitchResult.KEPT
         for version in {one.version for one in armed} or {0}:
             await self._undo(version, present, absent)
         if absent and not any(one.running for one in reports):
             # The absent rank could be armed until the pass begins, and an
             # idle group begins none.
+            self.why = f'idle, and {sorted(absent)} cannot be asked'
             return SwitchResult.KEPT
         await self._go_all(steps, absent)
+        self.why = f'undone, held before {sorted(steps)}'
         return SwitchResult.KEPT
 
     def _is_certainly_disarmed(
