--- a/tests/fakes/engine_group.py
+++ b/tests/fakes/engine_group.py
@@ -112,10 +112,19 @@
         self.is_busy = True
         self.engines = [FakeEngine(rank, self) for rank in range(size)]
         self.frozen = set()
+        self._thawed = asyncio.Event()
         self.lost_share = 0.0
         self.held_s = 0.0
         self.late = []
 
+    def thaw(self):
+        self.frozen.clear()
+        self._thawed.set()
+
+    async def until_awake(self, rank):
+        if rank in self.frozen:
+            await self._thawed.wait()
+
     async def run(self):
         while True:
             await asyncio.sleep(_PASS_S)
@@ -192,11 +201,9 @@
         self._dead = dead_guards
 
     async def order(self, rank, order, *, through=None):
-        while self._own in self._group.frozen:
-            await asyncio.sleep(0.01)
+        await self._group.until_awake(self._own)
         answer = await self._order(rank, order, through)
-        while self._own in self._group.frozen:
-            await asyncio.sleep(0.01)
+        await self._group.until_awake(self._own)
         return answer
 
     async def _order(self, rank, order, through):
--- a/tests/test_group_switch.py
+++ b/tests/test_group_switch.py
@@ -179,7 +179,7 @@
         # answer leaves open whether it is armed; only then the hold stays.
         arming = await scene.guards[2].order(_question(fence=2))
         in_doubt = arming.lead_in_doubt
-        scene.group.frozen.clear()
+        scene.group.thaw()
         await first
         await scene.check(1)
         third = scene.switch(own_rank=0, fence=3)
