Queues as short as on time allows; requests leave groups that stand still; tests

Cause: overload kept requests waiting that newcomers overtook until they were refused after 1.2 s; a lone arrival was refused because an idle service has no rate of starts (found by tests/test_admission.py); a group that stalls kept its requests although another group had room; lost prepare orders ended a switch. Change: first come, first served per priority; the foreseen wait, from the requests in progress and their mean time, must leave the objective within reach; stalled groups give resumable streams back; orders are tried again.

--- a/src/carobslip/configuration/__init__.py
+++ b/src/carobslip/configuration/__init__.py
@@ -28,6 +28,7 @@
     read_configuration,
     read_document,
     read_tagged,
+    to_text,
 )
 from carobslip.configuration._resolver import Resolver
 from carobslip.configuration._steps import find_step_fault
@@ -58,4 +59,5 @@
     'read_configuration',
     'read_document',
     'read_tagged',
+    'to_text',
 ]
--- a/src/carobslip/configuration/_reader.py
+++ b/src/carobslip/configuration/_reader.py
@@ -30,6 +30,11 @@
     return read_document(text, source=source, kind=_document.Configuration)
 
 
+def to_text(document: _document.Configuration) -> str:
+    """Returns a document as text that :func:`read_configuration` reads."""
+    return msgspec.json.encode(document).decode()
+
+
 def read_document(
     text: str,
     *,
--- a/src/carobslip/expertmap/_balance.py
+++ b/src/carobslip/expertmap/_balance.py
@@ -113,13 +113,17 @@
 
     def strain_after(self, change: _Change) -> float:
         """Returns the strain under a change, without making it."""
+        return self._strain_of(self.loads_after(change))
+
+    def loads_after(self, change: _Change) -> list[float]:
+        """Returns the loads by rank under a change, without making it."""
+        if change.leaves is not None:
+            return self._loads_after_move(change)
         loads = list(self.loads)
         self._shift(loads, change.expert, add=change.to_rank)
         if change.dropped is not None:
             self._shift(loads, change.dropped, remove=change.to_rank)
-        if change.leaves is not None:
-            loads = self._loads_after_move(change)
-        return self._strain_of(loads)
+        return loads
 
     def apply(self, change: _Change) -> None:
         """Makes a change."""
@@ -255,6 +259,9 @@
     if not changes:
         return None
     best = min(changes, key=state.strain_after)
+    # A pass waits for the most loaded rank, so that one may not get more.
+    if max(state.loads_after(best)) > max(state.loads):
+        return None
     allowed = state.strain * (1 - bounds.gain_min)
     return best if state.strain_after(best) < allowed else None
 
--- a/src/carobslip/expertmap/_lead.py
+++ b/src/carobslip/expertmap/_lead.py
@@ -15,6 +15,8 @@
 _SILENCE_MS: Final = 250.0
 #: A group counts as closed when a rank has not been heard of for this long.
 _LOST_RANK_MS: Final = 1000.0
+#: A hold that has stood for this long cannot be ended at present.
+_STUCK_MS: Final = 600.0
 #: A hold or an armed map that no switch of this coordinator explains is
 #: ended after this time: another coordinator may still be at work.
 _STANDING_MS: Final = 200.0
@@ -109,6 +111,9 @@
         reports = self._reports_since(now_ms - _LOST_RANK_MS)
         if not reports:
             return False
+        since_ms = self._standing_since_ms
+        if since_ms is not None and now_ms - since_ms > _STUCK_MS:
+            return True
         is_short = len(reports) < reports[0].size
         return is_short or not all(one.is_open for one in reports)
 
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -18,6 +18,8 @@
 _STEP_MARGIN: Final = 2
 #: Tries to hold a pass that may begin before the order arrives.
 _HOLD_TRIES: Final = 3
+#: Preparing is repeated where no answer came; orders get lost one by one.
+_PREPARE_TRIES: Final = 3
 #: Arming is repeated for this long at ranks that gave no answer; a hold that
 #: lasts longer costs more than the switch gains.
 _ARM_TRIES_MS: Final = 600.0
@@ -232,18 +234,24 @@
         version: int,
         layout: _group_map.Layout,
     ) -> bool:
-        answers = await self._order_all(
-            self._order(
-                _orders.OrderKind.PREPARE,
-                version=version,
-                layout=layout,
-            ),
-            set(),
-        )
-        return all(
-            answer.report is not None and answer.report.prepared == version
-            for answer in answers
+        order = self._order(
+            _orders.OrderKind.PREPARE,
+            version=version,
+            layout=layout,
         )
+        ready: set[int] = set()
+        for _try in range(_PREPARE_TRIES):
+            asked = [rank for rank in range(self._size) if rank not in ready]
+            answers = await self._order_all(order, ready)
+            for rank, answer in zip(asked, answers, strict=True):
+                report = answer.report
+                if report is not None and report.prepared == version:
+                    ready.add(rank)
+                elif answer.end is _orders.OrderEnd.REFUSED:
+                    return False
+            if len(ready) == self._size:
+                return True
+        return False
 
     async def _hold(self) -> int | None:
         """Holds a near pass; returns its number."""
@@ -262,7 +270,6 @@
             if answer.end is _orders.OrderEnd.LOST:
                 # It may land later: a hold must not be left standing.
                 await self._go(step, set())
-                return None
         return None
 
     async def _arm(self, version: int, step: int) -> bool:
--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -2,12 +2,11 @@
 
 The load it answers: more requests than the targets' slots. Requests wait at
 the entry, where they can still be refused truthfully, rather than inside a
-target. Those that can still meet their objective go first; the rest use what
-room is left. What would wait longer than it may is refused on arrival.
+target. The queue is kept so short that who waits in it still meets the
+objective; who would not is refused on arrival and told when to return.
 """
 
 import asyncio
-import collections
 import random
 from collections.abc import Callable, Sequence
 from typing import Final
@@ -17,8 +16,6 @@
 from carobslip import clocks, identifiers, targets
 from carobslip.forwarding import _loads
 
-#: Starts a second are estimated over this window.
-_RATE_WINDOW_MS: Final = 2000.0
 #: Window of the bound on requests to cold targets, in which it is stated.
 _COLD_WINDOW_MS: Final = 1000.0
 #: Part of the fleet's bound that entries use; they count independently.
@@ -27,6 +24,9 @@
 #: drawn evenly so that those refused together do not return together.
 _RETRY_MIN_MS: Final = 400.0
 _RETRY_MAX_MS: Final = 1400.0
+#: The foreseen wait is a mean; this part of the time leaves room for those
+#: that wait longer.
+_FORESIGHT_SHARE: Final = 0.75
 #: Waiters are looked at this often even if nothing else happens.
 _TICK_S: Final = 0.05
 
@@ -38,7 +38,8 @@
         service: Where it goes.
         priority: 0 is the highest.
         on_time_until_ms: A start until then can still meet the objective.
-        wait_until_ms: It is refused if it has not started by then.
+        wait_until_ms: It is refused if it has not started by then, which can
+            happen when the queue moves more slowly than was foreseen.
         excluded: Targets that have refused it.
         cold_rps: Requests a second that a cold target bears; 0 for no bound.
     """
@@ -75,10 +76,10 @@
             asyncio.get_running_loop().create_future()
         )
 
-    def rank(self, now_ms: float) -> tuple[int, bool, int]:
-        """Orders waiters: urgent ones, then those still on time."""
-        late = now_ms > self.demand.on_time_until_ms
-        return self.demand.priority, late, self.order
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Orders waiters: urgent ones first, then as they came."""
+        return self.demand.priority, self.order
 
 
 class Admission:
@@ -111,15 +112,15 @@
         self._random = generator
         self._order = 0
         self._waiters: dict[identifiers.ServiceId, list[_Waiter]] = {}
-        self._starts_ms: dict[
-            identifiers.ServiceId,
-            collections.deque[float],
-        ] = {}
 
     def waiting(self, service: identifiers.ServiceId) -> int:
         """Returns how many requests wait for a service."""
         return len(self._waiters.get(service, ()))
 
+    def has_room(self, demand: Demand) -> bool:
+        """Tells whether a request could start at once."""
+        return self._find_place(demand) is not None
+
     async def admit(self, demand: Demand) -> targets.TargetRecord | Refusal:
         """Waits for a place; the caller must give it back with ``release``.
 
@@ -129,7 +130,7 @@
         if not self.waiting(demand.service):
             record = self._find_place(demand)
             if record is not None:
-                return self._start(demand, record)
+                return self._start(record)
         refusal = self._foresee(demand)
         if refusal is not None:
             return refusal
@@ -145,15 +146,14 @@
         queue = self._waiters.get(service)
         if not queue:
             return
-        now_ms = self._clock.now_ms()
-        for waiter in sorted(queue, key=lambda one: one.rank(now_ms)):
+        for waiter in sorted(queue, key=lambda one: one.rank):
             if waiter.start.done():
                 continue
             record = self._find_place(waiter.demand)
             if record is None:
                 return
             queue.remove(waiter)
-            waiter.start.set_result(self._start(waiter.demand, record))
+            waiter.start.set_result(self._start(record))
 
     def wake_all(self) -> None:
         """Looks at every queue, after news about targets."""
@@ -191,10 +191,14 @@
         ]
         if not usable:
             return self._refuse('no usable target', demand.service)
-        ahead = self.waiting(demand.service) + 1
-        wait_ms = demand.wait_until_ms - self._clock.now_ms()
-        rate = self._starts_per_ms(demand.service)
-        if rate and ahead / rate > wait_ms:
+        ahead = 1 + sum(
+            waiter.demand.priority <= demand.priority
+            for waiter in self._waiters.get(demand.service, ())
+        )
+        until_ms = min(demand.on_time_until_ms, demand.wait_until_ms)
+        wait_ms = _FORESIGHT_SHARE * (until_ms - self._clock.now_ms())
+        rate = self._starts_per_ms(usable)
+        if rate is not None and ahead > max(0.0, rate * wait_ms):
             return self._refuse('queue too long', demand.service)
         return None
 
@@ -239,24 +243,28 @@
         sent = self._loads.sends_within(record.target, _COLD_WINDOW_MS)
         return sent < max(1, int(share))
 
-    def _start(
-        self,
-        demand: Demand,
-        record: targets.TargetRecord,
-    ) -> targets.TargetRecord:
+    def _start(self, record: targets.TargetRecord) -> targets.TargetRecord:
         self._loads.note_start(record.target)
-        starts = self._starts_ms.setdefault(
-            demand.service,
-            collections.deque(),
-        )
-        starts.append(self._clock.now_ms())
         return record
 
-    def _starts_per_ms(self, service: identifiers.ServiceId) -> float:
-        starts = self._starts_ms.get(service)
-        if starts is None:
-            return 0.0
-        oldest_ms = self._clock.now_ms() - _RATE_WINDOW_MS
-        while starts and starts[0] < oldest_ms:
-            starts.popleft()
-        return len(starts) / _RATE_WINDOW_MS
+    def _starts_per_ms(
+        self,
+        usable: Sequence[targets.TargetRecord],
+    ) -> float | None:
+        """Returns how fast places become free for this entry.
+
+        Nothing is free when this is asked, so the requests in progress are
+        the capacity. None while no request has ended yet.
+        """
+        times_ms = [
+            self._loads.service_ms_of(record.target) for record in usable
+        ]
+        known_ms = [time_ms for time_ms in times_ms if time_ms > 0]
+        if not known_ms:
+            return None
+        own = sum(self._loads.own_of(record.target) for record in usable)
+        all_requests = sum(
+            self._loads.load_of(record.target) for record in usable
+        )
+        share = all_requests / max(1, self._entries())
+        return max(own, share) * len(known_ms) / sum(known_ms)
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -24,6 +24,7 @@
     _ports,
     _repeat_budget,
     _request,
+    _stalls,
     _table,
 )
 
@@ -48,6 +49,8 @@
 _START_WAIT_MS: Final = 300.0
 #: A group whose rank is lost stalls for about this long.
 _GROUP_STALL_MS: Final = 1500.0
+#: Requests at a stalled target look for room elsewhere at this interval.
+_STALL_LOOK_S: Final = 0.05
 
 
 class ForwardingRules(msgspec.Struct, frozen=True, kw_only=True):
@@ -162,6 +165,7 @@
         self._metrics = tools.metrics
         self._index: _table.ForwardingIndex | None = None
         self._configured = asyncio.Event()
+        self.stalls = _stalls.StallBook()
         self.in_progress = 0
         self.admission = _admission.Admission(
             loads=loads,
@@ -311,32 +315,9 @@
     ) -> verdicts.Outcome:
         """Sends the request to one target, and judges how that ended."""
         started_ms = self._clock.now_ms()
-        call = _ports.ForwardCall(
-            request=work.request,
-            target=place.target,
-            address=place.address,
-            team=None if work.team is None else work.team.team,
-            time_left_ms=work.deadline_ms - started_ms,
-            last_event=work.resume_after,
-            may_reuse_connection=work.route.may_repeat
-            and work.request.method == 'POST',
-        )
         work.sent += 1
         work.is_at_target = True
-        try:
-            async with self._port.call(call) as answer:
-                outcome = await self._pass_on(work, place, answer)
-        except guard.TargetNotReached as fault:
-            work.sent -= 1
-            work.unsent += 1
-            outcome = verdicts.not_run(_Reason.NOT_CONNECTED, str(fault))
-            self._note_failure(place, is_unreachable=True)
-        except guard.TargetLost as fault:
-            outcome = verdicts.may_have_run(
-                _Reason.CONNECTION_LOST,
-                str(fault),
-            )
-            self._note_failure(place, is_unreachable=False)
+        outcome = await self._call_unless_stalled(work, place)
         work.is_at_target = False
         took_ms = self._clock.now_ms() - started_ms
         if outcome.verdict is _Verdict.RAN:
@@ -354,6 +335,68 @@
             )
         return outcome
 
+    async def _call_unless_stalled(
+        self,
+        work: _Work,
+        place: targets.TargetRecord,
+    ) -> verdicts.Outcome:
+        """Calls a target, and takes the call back when its group stalls."""
+        call = asyncio.ensure_future(self._call(work, place))
+        stall = asyncio.ensure_future(self.stalls.wait(place.target))
+        try:
+            await asyncio.wait(
+                (call, stall),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            while not call.done():
+                if self._can_move(work, place):
+                    return verdicts.may_have_run(
+                        _Reason.TARGET_FAILED,
+                        'its group stands still',
+                    )
+                await asyncio.wait((call,), timeout=_STALL_LOOK_S)
+            return call.result()
+        finally:
+            stall.cancel()
+            call.cancel()
+            await asyncio.gather(call, stall, return_exceptions=True)
+
+    def _can_move(self, work: _Work, place: targets.TargetRecord) -> bool:
+        """Tells whether a call at a stalled target may start elsewhere."""
+        if not self.stalls.is_stalled(place.target):
+            return False
+        if not work.route.may_repeat or work.sent >= work.route.attempts_max:
+            return False
+        has_room = self.admission.has_room(self._demand_of(work))
+        return has_room and self._budget.has_room(work.service)
+
+    async def _call(
+        self,
+        work: _Work,
+        place: targets.TargetRecord,
+    ) -> verdicts.Outcome:
+        call = _ports.ForwardCall(
+            request=work.request,
+            target=place.target,
+            address=place.address,
+            team=None if work.team is None else work.team.team,
+            time_left_ms=work.deadline_ms - self._clock.now_ms(),
+            last_event=work.resume_after,
+            may_reuse_connection=work.route.may_repeat
+            and work.request.method == 'POST',
+        )
+        try:
+            async with self._port.call(call) as answer:
+                return await self._pass_on(work, place, answer)
+        except guard.TargetNotReached as fault:
+            work.sent -= 1
+            work.unsent += 1
+            self._note_failure(place, is_unreachable=True)
+            return verdicts.not_run(_Reason.NOT_CONNECTED, str(fault))
+        except guard.TargetLost as fault:
+            self._note_failure(place, is_unreachable=False)
+            return verdicts.may_have_run(_Reason.CONNECTION_LOST, str(fault))
+
     async def _pass_on(
         self,
         work: _Work,
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -111,6 +111,7 @@
         self.metrics = metrics
         self._connect = connect
         self._stop_began_ms: float | None = None
+        self._groups: dict[identifiers.GroupId, bool] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -323,9 +324,26 @@
             self.book.apply(update)
 
     def _note_targets(self) -> None:
-        self.loads.forget_missing(record.target for record in self.book.records)
+        listed = [record.target for record in self.book.records]
+        self.loads.forget_missing(listed)
+        self.forwarder.stalls.forget_missing(listed)
         self.forwarder.admission.wake_all()
 
+    def _note_stall(
+        self,
+        news: control.GroupLoad,
+        members: list[identifiers.TargetId],
+    ) -> None:
+        self.forwarder.stalls.note(members, is_stalled=not news.is_open)
+        if self._groups.get(news.group) is not news.is_open:
+            self._groups[news.group] = news.is_open
+            self.log.write(
+                observability.Event.GROUP_CHANGED,
+                group=news.group,
+                is_open=news.is_open,
+                targets=len(members),
+            )
+
     async def _answer_targets(
         self,
         request: control.FetchTargets,
@@ -346,12 +364,15 @@
         by_address = {
             record.address: record.target for record in self.book.records
         }
+        members = []
         for rank in news.ranks:
             target = by_address.get(rank.address)
             if target is None:
                 continue
+            members.append(target)
             self.loads.note_total(target, rank.running + rank.waiting)
             if not news.is_open:
                 self.loads.avoid(target, _GROUP_AVOID_MS)
+        self._note_stall(news, members)
         self.forwarder.admission.wake_all()
         return control.Noted()
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -33,6 +33,9 @@
 #: A peer that gave no answer for this long is passed over.
 _PASS_OVER_MS: Final = 2000.0
 _SILENCES_MAX: Final = 2
+#: An engine that was silent so often has gone, and another one may have its
+#: rank by now.
+_SILENCES_GONE: Final = 12
 _PUSH_TIMEOUT_MS: Final = 100.0
 _ORDER_TIMEOUT_MS: Final = 250.0
 #: A copy that takes longer than this many times its own time has failed.
@@ -112,6 +115,8 @@
         self._silences: dict[identifiers.InstanceId, int] = {}
         self._passed_over_ms: dict[identifiers.InstanceId, float] = {}
         self._coordinator = ''
+        self._report: expertmap.RankReport | None = None
+        self._engine_silences = 0
         self._periods = 0
 
     async def start(self) -> None:
@@ -172,19 +177,30 @@
         while True:
             period_s = _PERIOD_S
             try:
-                report = await self._engine.report()
-                if report is not None:
-                    await self._follow(report)
-                    period_s *= max(1.0, report.size / _PERIOD_RANKS)
+                self._report = await self._engine.report()
+                if self._report is not None:
+                    await self._follow(self._report)
+                    period_s *= max(1.0, self._report.size / _PERIOD_RANKS)
+                self._engine_silences = 0
             except expertmap.EngineUnavailable as fault:
-                self._note_engine_silent(str(fault))
+                await self._note_engine_silent(str(fault))
             await asyncio.sleep(period_s)
 
-    def _note_engine_silent(self, fault: str) -> None:
+    async def _note_engine_silent(self, fault: str) -> None:
         self._metrics.count('engine_silent')
+        self._engine_silences += 1
         if self._counts is not None:
             self.log.write(observability.Event.ENGINE_SILENT, fault=fault)
         self._counts = None
+        report = self._report
+        if report is None or self._engine_silences < _SILENCES_MAX:
+            return
+        if self._engine_silences > _SILENCES_GONE:
+            self._report = None
+            self._renew_record(None, None)
+            return
+        # The group stalls without this rank; nobody else knows it yet.
+        await self._follow(msgspec.structs.replace(report, is_open=False))
 
     async def _follow(self, report: expertmap.RankReport) -> None:
         """Tells the coordinator about the engine, or coordinates."""
@@ -192,11 +208,11 @@
         figures = self._engine_figures()
         if figures is not None:
             self.rank_guard.expert_copy_ms = figures.expert_copy_ms
-        self._renew_record(report)
+        self._renew_record(report.group, report.rank)
         news = expertmap.RankNews(
             report=report,
             sequence=self._next_sequence(),
-            counts=await self._new_counts(),
+            counts=await self._new_counts() if report.is_open else (),
             address=self._own.engine_address,
         )
         coordinator = self._choose_coordinator(report)
@@ -205,15 +221,15 @@
         else:
             await self._push(coordinator, news)
 
-    def _renew_record(self, report: expertmap.RankReport) -> None:
+    def _renew_record(
+        self,
+        group: identifiers.GroupId | None,
+        rank: int | None,
+    ) -> None:
         record = self._member.record
-        if (record.group, record.rank) != (report.group, report.rank):
+        if (record.group, record.rank) != (group, rank):
             self._member.renew_record(
-                msgspec.structs.replace(
-                    record,
-                    group=report.group,
-                    rank=report.rank,
-                ),
+                msgspec.structs.replace(record, group=group, rank=rank),
             )
 
     async def _new_counts(self) -> tuple[int, ...]:
--- /dev/null
+++ b/tests/fakes/forwarding.py
@@ -0,0 +1,262 @@
+"""Scripted targets and callers around a real forwarder."""
+
+import asyncio
+import contextlib
+import random
+
+from carobslip import (
+    clocks,
+    configuration,
+    forwarding,
+    guard,
+    identifiers,
+    observability,
+    targets,
+)
+
+SERVICE = identifiers.ServiceId('drafts')
+DESK = identifiers.ServiceId('desk')
+KEY = 'key-of-anna'
+TEAM = identifiers.TeamId('anna')
+
+
+class FakeAnswer:
+    """A target's answer, in parts; ``broken`` ends it with a reset."""
+
+    def __init__(
+        self,
+        *,
+        status=200,
+        parts=(b'whole',),
+        broken=False,
+        has_not_run=False,
+        is_other_target=False,
+        is_event_stream=False,
+        load=None,
+        part_pause_s=0.01,
+    ):
+        self.head = forwarding.AnswerHead(
+            status=status,
+            headers=(('X-Digest', f'{status}'),),
+        )
+        self._parts = parts
+        self._broken = broken
+        self._part_pause_s = part_pause_s
+        self.has_not_run = has_not_run
+        self.is_other_target = is_other_target
+        self.is_event_stream = is_event_stream
+        self.load = load
+        self.culprit = None
+
+    async def chunks(self):
+        for part in self._parts:
+            await asyncio.sleep(self._part_pause_s)
+            yield part
+        if self._broken:
+            raise guard.TargetLost('reset')
+
+
+def events(*numbers):
+    """Returns an answer that streams numbered events."""
+    parts = tuple(b'id: %d\ndata: x\n\n' % number for number in numbers)
+    return FakeAnswer(parts=parts, is_event_stream=True)
+
+
+def broken_events(*numbers, rest=b''):
+    """Returns a stream that breaks off after some events and a part."""
+    answer = events(*numbers)
+    answer._parts += (rest,)
+    answer._broken = True
+    return answer
+
+
+class FakePort:
+    """Gives out scripted answers by target, and keeps a ledger of runs."""
+
+    def __init__(self, script):
+        self.script = script
+        self.calls = []
+        self.runs = []
+        self.cancelled = []
+
+    @contextlib.asynccontextmanager
+    async def call(self, call):
+        self.calls.append(call)
+        step = self.script.pop(0) if self.script else FakeAnswer()
+        try:
+            await asyncio.sleep(0.005)
+            if step == 'refused connection':
+                raise guard.TargetNotReached('refused')
+            if step == 'hangs':
+                self.runs.append(call.request.request_id)
+                await asyncio.sleep(1000)
+            if step == 'lost':
+                self.runs.append(call.request.request_id)
+                raise guard.TargetLost('reset')
+            if not step.has_not_run and not step.is_other_target:
+                self.runs.append(call.request.request_id)
+            yield step
+        except asyncio.CancelledError:
+            self.cancelled.append(call.target)
+            raise
+
+
+class FakeCaller:
+    """Collects an answer."""
+
+    def __init__(self):
+        self.head = None
+        self.body = b''
+        self.is_whole = False
+
+    async def answer(self, head, body):
+        self.head = head
+        self.body = body
+        self.is_whole = True
+
+    async def begin(self, head):
+        assert self.head is None
+        self.head = head
+
+    async def write(self, content):
+        self.body += content
+
+    async def end(self):
+        self.is_whole = True
+
+
+def table(**changes):
+    """Returns a forwarding table with one route of each kind."""
+    common = {'timeout_ms': 8000, 'objective_ms': 500, 'attempts_max': 2}
+    kinds = configuration.RequestKind
+
+    def route(name, kind, service=SERVICE, **more):
+        return configuration.Route(
+            name=name,
+            host='host.example',
+            prefix=f'/{name}/',
+            kind=kind,
+            services=(
+                configuration.WeightedService(service=service, weight=1),
+            ),
+            **{**common, **more},
+        )
+
+    content = {
+        'routes': (
+            route('look', kinds.IDEMPOTENT, DESK),
+            route('book', kinds.NON_IDEMPOTENT, DESK),
+            route('note', kinds.STREAM, resumable=True),
+            route('once', kinds.STREAM),
+            route('open', kinds.IDEMPOTENT, DESK, public=True),
+        ),
+        'services': (
+            configuration.ForwardedService(service=SERVICE),
+            configuration.ForwardedService(service=DESK),
+        ),
+        'teams': (configuration.Team(team=TEAM, api_keys=(KEY,)),),
+    }
+    return configuration.Forwarding(**{**content, **changes})
+
+
+class Entry:
+    """A forwarder with its surroundings, on the loop's clock."""
+
+    def __init__(self, script=(), *, held=None, out=(), count=2, slots=4):
+        self.clock = clocks.LoopClock(epoch_ms=0)
+        self.log = observability.EventLog()
+        self.holder = configuration.Holder(clock=self.clock)
+        self.port = FakePort(list(script))
+        self.book = targets.TargetBook(clock=self.clock, log=self.log)
+        self.loads = forwarding.LoadBook(
+            clock=self.clock,
+            generator=random.Random(1),
+            data_centre=identifiers.DataCentreId('east'),
+        )
+        self.entries = 1
+        self.is_current = True
+        self.budget = forwarding.RepeatBudget(
+            bounds=forwarding.RepeatBounds(ratio=0.2, extra=20, window_s=10),
+            entries=lambda: self.entries,
+            clock=self.clock,
+        )
+        self.forwarder = forwarding.Forwarder(
+            holder=self.holder,
+            book=self.book,
+            loads=self.loads,
+            port=self.port,
+            fleet=forwarding.FleetView(
+                entries=lambda: self.entries,
+                is_current=lambda: self.is_current,
+            ),
+            rules=forwarding.ForwardingRules(key_age_max_ms=4500),
+            budget=self.budget,
+            tools=forwarding.Tools(
+                clock=self.clock,
+                generator=random.Random(2),
+                log=self.log,
+                metrics=observability.NoMetrics(),
+            ),
+        )
+        self.list_targets(count, slots)
+        if held is not None:
+            self.adopt(held, out)
+
+    def list_targets(self, count, slots=4):
+        self.book.apply(
+            targets.TargetSnapshot(
+                records=tuple(
+                    record(f'{service}-{number}', service, slots=slots)
+                    for service in (SERVICE, DESK)
+                    for number in range(count)
+                ),
+                revision=1,
+            ),
+        )
+
+    def adopt(self, forwarding_table, out=(), version=1):
+        document = configuration.Configuration(
+            version=version,
+            forwarding=forwarding_table,
+            out=out,
+        )
+        text = configuration.to_text(document)
+        self.holder.offer(text, source='test')
+        self.holder.confirm(self.clock.now_ms())
+        self.forwarder.apply_configuration()
+
+    def request(self, path, **changes):
+        content = {
+            'request_id': identifiers.RequestId('r1'),
+            'host': 'host.example',
+            'path': path,
+            'method': 'POST',
+            'headers': (),
+            'body': b'{}',
+            'api_key': KEY,
+            'arrived_ms': self.clock.now_ms(),
+            'patience_ms': 8000,
+        }
+        return forwarding.ForwardRequest(**{**content, **changes})
+
+    async def send(self, path, **changes):
+        """Forwards one request; returns outcome and caller."""
+        caller = FakeCaller()
+        outcome = await self.forwarder.forward(
+            self.request(path, **changes),
+            caller,
+        )
+        return outcome, caller
+
+
+def record(name, service, **changes):
+    """Returns a target's entry in the list."""
+    content = {
+        'target': identifiers.TargetId(name),
+        'service': service,
+        'address': f'{name}:1',
+        'data_centre': identifiers.DataCentreId('east'),
+        'slots': 4,
+        'state': targets.TargetState.READY,
+    }
+    return targets.TargetRecord(**{**content, **changes})
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,246 @@
+"""What callers get when more requests come than targets have slots."""
+
+import asyncio
+import random
+
+import looptime
+import pytest
+
+from carobslip import clocks, forwarding, identifiers
+from tests.fakes import forwarding as fakes
+
+SERVICE = fakes.SERVICE
+
+
+class Load:
+    """An admission before targets that take a fixed time a request."""
+
+    def __init__(self, *, targets=4, slots=3, service_s=0.5, entries=1):
+        self.clock = clocks.LoopClock(epoch_ms=0)
+        self.records = [
+            fakes.record(f't{number}', SERVICE, slots=slots)
+            for number in range(targets)
+        ]
+        self.loads = forwarding.LoadBook(
+            clock=self.clock,
+            generator=random.Random(1),
+            data_centre=identifiers.DataCentreId('east'),
+        )
+        self.entries = entries
+        self.service_s = service_s
+        self.admission = forwarding.Admission(
+            loads=self.loads,
+            candidates=lambda _service: self.records,
+            entries=lambda: self.entries,
+            clock=self.clock,
+            generator=random.Random(2),
+        )
+        self.generator = random.Random(5)
+        self.started = []
+        self.refused = []
+        self.most_at_once = {}
+
+    def demand(self, *, wait_ms=1200.0, on_time_ms=300.0, **changes):
+        now_ms = self.clock.now_ms()
+        content = {
+            'service': SERVICE,
+            'priority': 1,
+            'on_time_until_ms': now_ms + on_time_ms,
+            'wait_until_ms': now_ms + wait_ms,
+        }
+        return forwarding.Demand(**{**content, **changes})
+
+    async def send(self, **changes):
+        arrived_ms = self.clock.now_ms()
+        place = await self.admission.admit(self.demand(**changes))
+        waited_ms = self.clock.now_ms() - arrived_ms
+        if isinstance(place, forwarding.Refusal):
+            self.refused.append((arrived_ms, waited_ms, place))
+            return
+        self.started.append((arrived_ms, waited_ms, place.target))
+        own = self.loads.own_of(place.target)
+        most = self.most_at_once.get(place.target, 0)
+        self.most_at_once[place.target] = max(most, own)
+        took_s = self.service_s * self.generator.uniform(0.5, 1.5)
+        await asyncio.sleep(took_s)
+        self.loads.note_success(place.target, took_s * 1000)
+        self.admission.release(place)
+
+    async def play(self, *, rate_rps, seconds, generator):
+        sends = []
+        for _number in range(int(rate_rps * seconds)):
+            sends.append(asyncio.ensure_future(self.send()))
+            await asyncio.sleep(generator.expovariate(rate_rps))
+        await asyncio.gather(*sends)
+
+
+def play(story):
+    loop = looptime.new_event_loop()
+    try:
+        return loop.run_until_complete(story())
+    finally:
+        loop.close()
+
+
+# Capacity is 4 targets x 3 slots / 0.5 s = 24 requests a second.
+LOADS = {'half': 12, 'full': 22, 'twice': 48, 'five times': 120}
+
+
+@pytest.mark.parametrize('name', LOADS)
+def test_targets_get_no_more_than_their_slots(name):
+    async def story():
+        load = Load()
+        await load.play(
+            rate_rps=LOADS[name],
+            seconds=20,
+            generator=random.Random(3),
+        )
+        assert max(load.most_at_once.values()) <= 3
+        served_rps = len(load.started) / 20
+        assert served_rps >= 0.9 * min(LOADS[name], 24)
+
+    play(story)
+
+
+@pytest.mark.parametrize('rate_rps', [36, 72, 120])
+def test_overload_is_refused_on_arrival_and_the_rest_starts_on_time(rate_rps):
+    async def story():
+        load = Load()
+        await load.play(
+            rate_rps=rate_rps,
+            seconds=20,
+            generator=random.Random(4),
+        )
+        settled = [one for one in load.refused if one[0] > 2000]
+        on_arrival = [one for one in settled if one[1] < 1]
+        assert len(on_arrival) >= 0.95 * len(settled)
+        waits_ms = [one[1] for one in load.started if one[0] > 2000]
+        on_time = [one for one in waits_ms if one <= 300]
+        assert len(on_time) >= 0.9 * len(waits_ms)
+        returns = {round(one[2].retry_after_ms, -2) for one in load.refused}
+        assert len(returns) > 5
+
+    play(story)
+
+
+def test_refused_callers_that_return_do_not_return_together():
+    async def story():
+        load = Load()
+        burst = [asyncio.ensure_future(load.send()) for _one in range(60)]
+        await asyncio.gather(*burst)
+        returns_ms = sorted(one[2].retry_after_ms for one in load.refused)
+        assert returns_ms[-1] - returns_ms[0] > 600
+        assert returns_ms[0] >= 400
+
+    play(story)
+
+
+def test_urgent_requests_go_first():
+    async def story():
+        load = Load(targets=1, slots=1, service_s=0.2)
+        order = []
+
+        async def send(name, priority):
+            await load.send(priority=priority)
+            order.append(name)
+
+        await asyncio.gather(
+            send('running', 2),
+            send('usual', 2),
+            send('urgent', 0),
+        )
+        assert order == ['running', 'urgent', 'usual']
+
+    play(story)
+
+
+def test_reports_of_others_are_counted():
+    async def story():
+        load = Load(targets=2, slots=3)
+        load.loads.note_total('t0', 3)
+        load.loads.note_total('t1', 1)
+        places = [
+            await load.admission.admit(load.demand(wait_ms=0))
+            for _number in range(3)
+        ]
+        assert [getattr(one, 'target', None) for one in places] == [
+            't1',
+            't1',
+            None,
+        ]
+
+    play(story)
+
+
+def test_without_reports_each_entry_takes_its_share():
+    async def story():
+        load = Load(targets=1, slots=6, entries=3)
+        places = [
+            await load.admission.admit(load.demand(wait_ms=0))
+            for _number in range(4)
+        ]
+        taken = [
+            one for one in places if not isinstance(one, forwarding.Refusal)
+        ]
+        assert len(taken) == 2
+
+    play(story)
+
+
+@pytest.mark.parametrize('entries', [1, 3, 7])
+def test_cold_target_gets_no_more_than_it_bears_from_all_entries(entries):
+    async def story():
+        loads = [
+            Load(targets=1, slots=100, service_s=0.01, entries=entries)
+            for _number in range(entries)
+        ]
+        bound_rps = 21.0
+
+        async def press(load):
+            for _number in range(100):
+                place = await load.admission.admit(
+                    load.demand(wait_ms=0, cold_rps=bound_rps),
+                )
+                if not isinstance(place, forwarding.Refusal):
+                    load.started.append(load.clock.now_ms())
+                    load.admission.release(place)
+                await asyncio.sleep(0.01)
+
+        await asyncio.gather(*(press(load) for load in loads))
+        moments = sorted(one for load in loads for one in load.started)
+        for moment in moments:
+            window = [one for one in moments if 0 <= one - moment < 1000]
+            assert len(window) <= bound_rps
+
+    play(story)
+
+
+def test_target_that_fails_is_left_alone_for_a_while():
+    async def story():
+        load = Load(targets=2, slots=3)
+        load.loads.note_failure('t0', is_unreachable=True)
+        for _number in range(3):
+            place = await load.admission.admit(load.demand(wait_ms=0))
+            assert place.target == 't1'
+        await asyncio.sleep(0.6)
+        place = await load.admission.admit(load.demand(wait_ms=0))
+        assert place.target == 't0'
+
+    play(story)
+
+
+def test_caller_that_leaves_the_queue_frees_its_turn():
+    async def story():
+        load = Load(targets=1, slots=1, service_s=0.3)
+        first = asyncio.ensure_future(load.send())
+        await asyncio.sleep(0.01)
+        second = asyncio.ensure_future(load.send())
+        third = asyncio.ensure_future(load.send())
+        await asyncio.sleep(0.01)
+        second.cancel()
+        await asyncio.wait([first, second, third])
+        assert len(load.started) == 2
+        assert load.admission.waiting(SERVICE) == 0
+        assert load.loads.own_of('t0') == 0
+
+    play(story)
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,78 @@
+"""Layouts that follow a load which shifts."""
+
+import random
+
+import pytest
+
+from carobslip import expertmap
+
+
+def first_layout(ranks, sets, experts):
+    one = tuple(
+        tuple(expert for expert in range(experts) if expert % ranks == rank)
+        for rank in range(ranks)
+    )
+    return tuple(one for _number in range(sets))
+
+
+def skewed(generator, sets, experts):
+    return [
+        [generator.random() ** -1.2 for _expert in range(experts)]
+        for _set in range(sets)
+    ]
+
+
+SIZES = {'today': (8, 6, 64, 11), 'grown': (32, 12, 128, 5)}
+
+
+@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.parametrize('name', SIZES)
+def test_layouts_stay_whole_within_bounds_and_get_better(name, seed):
+    ranks, sets, experts, places = SIZES[name]
+    tokens = skewed(random.Random(seed), sets, experts)
+    bounds = expertmap.BalanceBounds(places_per_rank=places)
+    layout = first_layout(ranks, sets, experts)
+    skews = []
+    for _switch in range(20):
+        plan = expertmap.balance(layout, tokens, bounds)
+        if plan is None:
+            break
+        skews.append(plan.skew_after)
+        for after in plan.layout:
+            held = [expert for rank in after for expert in rank]
+            assert set(held) == set(range(experts))
+            assert all(len(rank) <= places for rank in after)
+        for rank in range(ranks):
+            gained = sum(
+                len(set(after[rank]) - set(before[rank]))
+                for before, after in zip(layout, plan.layout, strict=True)
+            )
+            assert gained <= 1
+        assert plan.skew_after < plan.skew_before
+        layout = plan.layout
+    assert skews[-1] < 0.75 * skews[0]
+
+
+def test_even_load_moves_nothing():
+    layout = first_layout(8, 6, 64)
+    even = [[1.0] * 64 for _set in range(6)]
+    bounds = expertmap.BalanceBounds(places_per_rank=11)
+    assert expertmap.balance(layout, even, bounds) is None
+
+
+def test_slow_rank_gets_less():
+    layout = first_layout(4, 1, 16)
+    even = [[1.0] * 16]
+    bounds = expertmap.BalanceBounds(places_per_rank=8)
+    paces = [3.0, 1.0, 1.0, 1.0]
+    for _switch in range(6):
+        plan = expertmap.balance(layout, even, bounds, paces)
+        if plan is None:
+            break
+        layout = plan.layout
+    shares = dict.fromkeys(range(4), 0.0)
+    for expert in range(16):
+        holders = [rank for rank in range(4) if expert in layout[0][rank]]
+        for rank in holders:
+            shares[rank] += 1 / len(holders)
+    assert shares[0] < 0.6 * max(shares.values())
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,390 @@
+"""What callers get of forwarded requests, and how often targets run them."""
+
+import asyncio
+
+import looptime
+import pytest
+
+from carobslip import configuration, identifiers, targets, verdicts
+from tests.fakes import forwarding as fakes
+
+RAN = verdicts.Verdict.RAN
+NOT_RUN = verdicts.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+Reason = verdicts.Reason
+
+
+def play(story):
+    loop = looptime.new_event_loop()
+    try:
+        return loop.run_until_complete(story())
+    finally:
+        loop.close()
+
+
+def refusal():
+    return fakes.FakeAnswer(status=503, has_not_run=True)
+
+
+# name: (path, script, verdict, runs, sends)
+ATTEMPTS = {
+    'booking is answered': ('/book/x', [fakes.FakeAnswer()], RAN, 1, 1),
+    'booking whose answer is lost': ('/book/x', ['lost'], MAY_HAVE_RUN, 1, 1),
+    'booking refused with proof goes on': (
+        '/book/x',
+        [refusal(), fakes.FakeAnswer()],
+        RAN,
+        1,
+        2,
+    ),
+    'booking refused everywhere': (
+        '/book/x',
+        [refusal(), refusal()],
+        NOT_RUN,
+        0,
+        2,
+    ),
+    'booking that was not sent goes on': (
+        '/book/x',
+        ['refused connection', fakes.FakeAnswer()],
+        RAN,
+        1,
+        2,
+    ),
+    'booking at another start of a target': (
+        '/book/x',
+        [fakes.FakeAnswer(status=421, is_other_target=True)],
+        RAN,
+        1,
+        2,
+    ),
+    'booking whose answer breaks off': (
+        '/book/x',
+        [fakes.FakeAnswer(broken=True)],
+        MAY_HAVE_RUN,
+        1,
+        1,
+    ),
+    'booking that fails is told as it is': (
+        '/book/x',
+        [fakes.FakeAnswer(status=500)],
+        RAN,
+        1,
+        1,
+    ),
+    'look-up whose answer is lost': (
+        '/look/x',
+        ['lost', fakes.FakeAnswer()],
+        RAN,
+        2,
+        2,
+    ),
+    'look-up that fails goes to another': (
+        '/look/x',
+        [fakes.FakeAnswer(status=500), fakes.FakeAnswer()],
+        RAN,
+        2,
+        2,
+    ),
+    'look-up that fails twice is told as it is': (
+        '/look/x',
+        [fakes.FakeAnswer(status=500), fakes.FakeAnswer(status=500)],
+        RAN,
+        2,
+        2,
+    ),
+    'look-up lost twice': ('/look/x', ['lost', 'lost'], MAY_HAVE_RUN, 2, 2),
+    'stream that may not go on breaks': (
+        '/once/x',
+        [fakes.broken_events(1, 2)],
+        MAY_HAVE_RUN,
+        1,
+        1,
+    ),
+    'stream that may not go on is not sent twice': (
+        '/once/x',
+        ['lost'],
+        MAY_HAVE_RUN,
+        1,
+        1,
+    ),
+}
+
+
+@pytest.mark.parametrize('name', ATTEMPTS)
+def test_attempts(name):
+    path, script, verdict, runs, sends = ATTEMPTS[name]
+
+    async def story():
+        entry = fakes.Entry(script, held=fakes.table())
+        outcome, caller = await entry.send(path)
+        assert outcome.verdict is verdict
+        assert len(entry.port.runs) == runs
+        assert len(entry.port.calls) == sends
+        assert caller.is_whole is (verdict is RAN)
+        if verdict is NOT_RUN:
+            assert outcome.retry_after_ms
+
+    play(story)
+
+
+# name: (path, key, reason)
+REFUSALS = {
+    'unknown route': ('/else/x', fakes.KEY, Reason.UNKNOWN_ROUTE),
+    'part of a prefix': ('/boo/x', fakes.KEY, Reason.UNKNOWN_ROUTE),
+    'unknown key': ('/book/x', 'wrong', Reason.UNKNOWN_KEY),
+    'no key': ('/book/x', None, Reason.UNKNOWN_KEY),
+}
+
+
+@pytest.mark.parametrize('name', REFUSALS)
+def test_refusals(name):
+    path, key, reason = REFUSALS[name]
+
+    async def story():
+        entry = fakes.Entry(held=fakes.table())
+        outcome, _caller = await entry.send(path, api_key=key)
+        assert (outcome.verdict, outcome.reason) == (NOT_RUN, reason)
+        assert not entry.port.calls
+
+    play(story)
+
+
+def test_public_route_needs_no_key_and_names_no_team():
+    async def story():
+        entry = fakes.Entry(held=fakes.table())
+        outcome, _caller = await entry.send('/open/x', api_key=None)
+        assert outcome.verdict is RAN
+        assert entry.port.calls[0].team is None
+
+    play(story)
+
+
+def test_team_of_the_key_is_told_to_the_target():
+    async def story():
+        entry = fakes.Entry(held=fakes.table())
+        await entry.send('/book/x')
+        assert entry.port.calls[0].team == fakes.TEAM
+
+    play(story)
+
+
+def test_key_is_served_only_while_the_configuration_is_surely_new():
+    async def story():
+        entry = fakes.Entry(held=fakes.table())
+        await asyncio.sleep(4.4)
+        outcome, _caller = await entry.send('/book/x')
+        assert outcome.verdict is RAN
+        await asyncio.sleep(0.2)
+        for path in ('/book/x', '/else/x'):
+            outcome, _caller = await entry.send(path)
+            assert outcome.verdict is NOT_RUN
+            assert outcome.reason is Reason.NOT_CURRENT
+        outcome, _caller = await entry.send('/open/x')
+        assert outcome.verdict is RAN
+        entry.holder.confirm(entry.clock.now_ms())
+        outcome, _caller = await entry.send('/book/x')
+        assert outcome.verdict is RAN
+
+    play(story)
+
+
+def test_request_waits_for_the_configuration_of_a_starting_entry():
+    async def story():
+        entry = fakes.Entry()
+        asyncio.get_running_loop().call_later(0.2, entry.adopt, fakes.table())
+        outcome, _caller = await entry.send('/book/x')
+        assert outcome.verdict is RAN
+
+    play(story)
+
+
+def test_starting_entry_refuses_rather_than_deny():
+    async def story():
+        entry = fakes.Entry()
+        outcome, _caller = await entry.send('/book/x')
+        assert outcome.reason is Reason.NO_CONFIGURATION
+        assert outcome.retry_after_ms
+
+    play(story)
+
+
+def test_woken_entry_refuses_until_it_has_refreshed():
+    async def story():
+        entry = fakes.Entry(held=fakes.table())
+        entry.is_current = False
+        outcome, _caller = await entry.send('/book/x')
+        assert (outcome.verdict, outcome.reason) == (NOT_RUN, Reason.PAUSED)
+
+    play(story)
+
+
+def test_stream_goes_on_at_another_target_within_one_answer():
+    async def story():
+        script = [
+            fakes.broken_events(1, 2, rest=b'id: 3\ndata: ha'),
+            fakes.events(3, 4),
+        ]
+        entry = fakes.Entry(script, held=fakes.table())
+        outcome, caller = await entry.send('/note/x')
+        assert outcome.verdict is RAN
+        assert caller.is_whole
+        whole = b''.join(b'id: %d\ndata: x\n\n' % one for one in (1, 2, 3, 4))
+        assert caller.body == whole
+        first, second = entry.port.calls
+        assert (first.last_event, second.last_event) == (None, '2')
+        assert first.target != second.target
+
+    play(story)
+
+
+def test_stream_with_a_gap_is_never_completed():
+    async def story():
+        script = [fakes.broken_events(1, 2), fakes.events(4, 5)]
+        entry = fakes.Entry(script, held=fakes.table())
+        outcome, caller = await entry.send('/note/x')
+        assert outcome.verdict is MAY_HAVE_RUN
+        assert not caller.is_whole
+        assert b'id: 4' not in caller.body
+
+    play(story)
+
+
+def test_events_that_come_twice_are_passed_on_once():
+    async def story():
+        script = [fakes.broken_events(1, 2), fakes.events(1, 2, 3)]
+        entry = fakes.Entry(script, held=fakes.table())
+        _outcome, caller = await entry.send('/note/x')
+        assert caller.body.count(b'id: 2') == 1
+        assert caller.is_whole
+
+    play(story)
+
+
+def test_error_of_the_second_target_does_not_follow_the_first_answer():
+    async def story():
+        script = [fakes.broken_events(1), fakes.FakeAnswer(status=500)]
+        entry = fakes.Entry(script, held=fakes.table())
+        outcome, caller = await entry.send('/note/x')
+        assert outcome.verdict is MAY_HAVE_RUN
+        assert not caller.is_whole
+
+    play(story)
+
+
+def test_caller_that_leaves_cancels_the_call():
+    async def story():
+        entry = fakes.Entry(['hangs'], held=fakes.table())
+        sending = asyncio.ensure_future(entry.send('/note/x'))
+        await asyncio.sleep(0.1)
+        sending.cancel()
+        await asyncio.wait([sending])
+        assert len(entry.port.cancelled) == 1
+        assert entry.loads.own_of(entry.port.calls[0].target) == 0
+
+    play(story)
+
+
+def test_time_left_is_never_more_than_the_caller_or_the_route_gives():
+    async def story():
+        entry = fakes.Entry([refusal()], held=fakes.table())
+        await entry.send('/book/x', patience_ms=600)
+        await entry.send('/book/x', patience_ms=60_000)
+        first, second, third = (one.time_left_ms for one in entry.port.calls)
+        assert first <= 600
+        assert second < first
+        assert third <= 8000
+
+    play(story)
+
+
+def test_hanging_target_ends_with_the_time_limit_as_doubt():
+    async def story():
+        entry = fakes.Entry(['hangs'], held=fakes.table())
+        outcome, _caller = await entry.send('/book/x', patience_ms=600)
+        assert outcome.verdict is MAY_HAVE_RUN
+        assert outcome.reason is Reason.REPLY_TIMEOUT
+        assert entry.clock.now_ms() <= 601
+
+    play(story)
+
+
+def test_repeats_stay_within_the_share_of_this_entry():
+    async def story():
+        entry = fakes.Entry(['lost'] * 200, held=fakes.table())
+        entry.entries = 4
+        for _number in range(40):
+            entry.loads.forget_missing(())
+            await entry.send('/look/x')
+        repeats = len(entry.port.calls) - 40
+        # A quarter of 20 extra, and a fifth of the requests, less the margin.
+        assert 0 < repeats <= 0.7 * (40 * 0.2 + 20 / 4)
+
+    play(story)
+
+
+def test_withdrawn_data_centre_and_leaving_targets_get_nothing():
+    async def story():
+        west = identifiers.DataCentreId('west')
+        entry = fakes.Entry(held=fakes.table())
+        entry.book.apply(
+            targets.TargetSnapshot(
+                records=(
+                    fakes.record('a', fakes.DESK, data_centre=west),
+                    fakes.record(
+                        'b',
+                        fakes.DESK,
+                        state=targets.TargetState.DRAINING,
+                    ),
+                    fakes.record('c', fakes.DESK),
+                ),
+                revision=2,
+            ),
+        )
+        entry.adopt(
+            fakes.table(),
+            out=(
+                configuration.Withdrawal(
+                    reason='taken out by a test', data_centre=west
+                ),
+            ),
+            version=2,
+        )
+        for _number in range(8):
+            await entry.send('/book/x')
+        assert {call.target for call in entry.port.calls} == {'c'}
+
+    play(story)
+
+
+def test_stream_leaves_a_group_that_stands_still():
+    async def story():
+        script = [fakes.broken_events(1, 2), fakes.events(3, 4)]
+        script[0]._broken = False
+        script[0]._parts += (b'',) * 1000
+        entry = fakes.Entry(script, held=fakes.table())
+        sending = asyncio.ensure_future(entry.send('/note/x'))
+        await asyncio.sleep(0.5)
+        first = entry.port.calls[0].target
+        entry.forwarder.stalls.note([first], is_stalled=True)
+        entry.loads.avoid(first, 500)
+        outcome, caller = await sending
+        assert outcome.verdict is RAN
+        assert caller.is_whole
+        assert [call.last_event for call in entry.port.calls] == [None, '2']
+
+    play(story)
+
+
+def test_booking_stays_at_a_group_that_stands_still():
+    async def story():
+        entry = fakes.Entry(['hangs'], held=fakes.table())
+        sending = asyncio.ensure_future(entry.send('/book/x', patience_ms=900))
+        await asyncio.sleep(0.1)
+        first = entry.port.calls[0].target
+        entry.forwarder.stalls.note([first], is_stalled=True)
+        outcome, _caller = await sending
+        assert outcome.verdict is MAY_HAVE_RUN
+        assert len(entry.port.calls) == 1
+
+    play(story)
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,122 @@
+"""The list of targets through outages, torn entries and old reports."""
+
+import asyncio
+
+import looptime
+import pytest
+
+from carobslip import clocks, observability, targets
+from tests.fakes import forwarding as fakes
+
+DRAINING = targets.TargetState.DRAINING
+
+
+def play(story):
+    loop = looptime.new_event_loop()
+    try:
+        return loop.run_until_complete(story())
+    finally:
+        loop.close()
+
+
+def new_book():
+    return targets.TargetBook(
+        clock=clocks.LoopClock(epoch_ms=0),
+        log=observability.EventLog(),
+    )
+
+
+def change(name, revision, **changes):
+    record = fakes.record(name, fakes.DESK, **changes) if changes else None
+    return targets.TargetChange(target=name, record=record, revision=revision)
+
+
+def usable(book, withdrawn=()):
+    return {one.target for one in book.usable(fakes.DESK, withdrawn)}
+
+
+def listed(book, *names):
+    records = tuple(fakes.record(name, fakes.DESK) for name in names)
+    book.apply(targets.TargetSnapshot(records=records, revision=1))
+
+
+# name: (updates after the list of a and b, usable targets at once)
+UPDATES = {
+    'draining': ([change('a', 2, state=DRAINING)], {'b'}),
+    'removed': ([change('a', 2)], {'b'}),
+    'added': ([change('c', 2, sequence=1)], {'a', 'b', 'c'}),
+    'older report after draining': (
+        [
+            change('a', 2, state=DRAINING, sequence=5),
+            change('a', 3, sequence=4),
+        ],
+        {'b'},
+    ),
+    'started anew after draining': (
+        [
+            change('a', 2, state=DRAINING, sequence=5),
+            change('a', 3, started_wall_ms=9),
+        ],
+        {'a', 'b'},
+    ),
+    'history lost': (
+        [
+            targets.TargetSnapshot(
+                records=(fakes.record('b', fakes.DESK),),
+                revision=9,
+            ),
+        ],
+        {'b'},
+    ),
+    'list lost': ([targets.TargetListLost(fault='down')], {'a', 'b'}),
+}
+
+
+@pytest.mark.parametrize('name', UPDATES)
+def test_updates(name):
+    updates, expected = UPDATES[name]
+
+    async def story():
+        book = new_book()
+        listed(book, 'a', 'b')
+        for update in updates:
+            book.apply(update)
+        assert usable(book) == expected
+
+    play(story)
+
+
+def test_entries_that_lapse_in_an_outage_are_used_until_they_had_time():
+    async def story():
+        book = new_book()
+        listed(book, 'a', 'b')
+        book.apply(targets.TargetListLost(fault='down'))
+        await asyncio.sleep(4)
+        book.apply(targets.TargetListReached(revision=5))
+        book.apply(change('a', 5))
+        book.apply(change('b', 6))
+        assert usable(book) == {'a', 'b'}
+        await asyncio.sleep(1.9)
+        book.apply(change('b', 7, sequence=1))
+        assert usable(book) == {'a', 'b'}
+        await asyncio.sleep(0.4)
+        assert usable(book) == {'b'}
+
+    play(story)
+
+
+def test_list_of_a_peer_is_taken_only_without_an_own_one():
+    async def story():
+        book = new_book()
+        peers = targets.TargetSnapshot(
+            records=(fakes.record('p', fakes.DESK),),
+            revision=3,
+        )
+        book.adopt(peers)
+        assert usable(book) == {'p'}
+        listed(book, 'a')
+        assert usable(book) == {'a'}
+        book.adopt(peers)
+        assert usable(book) == {'a'}
+
+    play(story)
