--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -33,6 +33,11 @@
         'task-failed',
         'A background task raised an error and was started again.',
     )
+    METRICS_UNAVAILABLE = (
+        108,
+        'metrics-unavailable',
+        'The metrics address cannot be used; the process serves without.',
+    )
     CONFIGURATION_ADOPTED = (
         201,
         'configuration-adopted',
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -220,6 +220,16 @@
         current = self.member.pause_detector.is_current()
         return self.forwarder.is_ready and current and not self.is_stopping
 
+    def note_levels(self) -> None:
+        """Sets the levels among the metrics."""
+        forwarder = self.forwarder
+        holder = self.member.holder
+        self.metrics.level('in_progress', forwarder.in_progress)
+        self.metrics.level('configuration_version', holder.version)
+        self.metrics.level('configuration_age_ms', holder.age_ms())
+        self.metrics.level('targets', len(self.book))
+        self.metrics.level('entries', self._count_entries())
+
     def addresses_for(
         self,
         data_centre: identifiers.DataCentreId,
