--- a/src/carobslip/membership/_prober.py
+++ b/src/carobslip/membership/_prober.py
@@ -12,8 +12,11 @@
 
 #: Every so many periods a member believed dead is probed, to heal splits.
 _REVIVAL_PERIODS: Final = 5
-#: Every so many periods a seed is asked for unknown members.
+#: Every so many periods a seed is asked for unknown members, more often
+#: during a process's first periods.
 _SEED_PERIODS: Final = 8
+_SEED_PERIODS_EARLY: Final = 2
+_EARLY_PERIODS: Final = 24
 #: Members named in an answer to a joining process; bounds its size.
 _JOIN_NEWS_MAX: Final = 24
 #: Peers told at once about a new configuration.
@@ -83,7 +86,9 @@
             peer = self._next_peer()
             if peer is not None:
                 await self._probe_member(peer)
-            if self._seeds and self._periods % _SEED_PERIODS == 0:
+            early = self._periods <= _EARLY_PERIODS
+            pause = _SEED_PERIODS_EARLY if early else _SEED_PERIODS
+            if self._seeds and self._periods % pause == 0:
                 await self._join_at(self._random.choice(self._seeds))
 
     async def join(self) -> None:
--- a/src/carobslip/processes/__init__.py
+++ b/src/carobslip/processes/__init__.py
@@ -2,6 +2,7 @@
 
 from carobslip.processes._entry import EntryProcess
 from carobslip.processes._forwarding_entry import (
+    PROBING,
     ForwardingAdapters,
     ForwardingEntry,
     ForwardingEntrySettings,
@@ -11,6 +12,7 @@
 from carobslip.processes._runner import run_process
 
 __all__ = [
+    'PROBING',
     'EntryProcess',
     'ForwardingAdapters',
     'ForwardingEntry',
