--- a/src/carobslip/membership/_table.py
+++ b/src/carobslip/membership/_table.py
@@ -10,7 +10,7 @@
 from carobslip import control, directory, identifiers
 
 #: News items in one message.
-NEWS_MAX: Final = 3
+NEWS_MAX: Final = 6
 
 _PRECEDENCE: Final = (
     control.MemberState.ALIVE,
