--- a/src/carobslip/membership/_prober.py
+++ b/src/carobslip/membership/_prober.py
@@ -17,8 +17,8 @@
 _SEED_PERIODS: Final = 8
 _SEED_PERIODS_EARLY: Final = 2
 _EARLY_PERIODS: Final = 24
-#: Members named in an answer to a joining process; bounds its size.
-_JOIN_NEWS_MAX: Final = 24
+#: Members named in an answer to a joining process; a message holds 64.
+_JOIN_NEWS_MAX: Final = 56
 #: Peers told at once about a new configuration.
 _PUSH_PEERS: Final = 3
 
