--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -42,6 +42,8 @@
             happen when the queue moves more slowly than was foreseen.
         excluded: Targets that have refused it.
         cold_rps: Requests a second that a cold target bears; 0 for no bound.
+        share_min: Places at a target that an entry may take without word of
+            the load of others.
     """
 
     service: identifiers.ServiceId
@@ -50,6 +52,7 @@
     wait_until_ms: float
     excluded: frozenset[identifiers.TargetId] = frozenset()
     cold_rps: float = 0
+    share_min: int = 1
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -219,18 +222,22 @@
             for record in self._candidates(demand.service)
             if record.target not in demand.excluded
             and not self._loads.is_avoided(record.target)
-            and self._has_room(record)
+            and self._has_room(record, demand.share_min)
             and self._bears_more(record, demand.cold_rps)
         ]
         return self._loads.least_loaded(free)
 
-    def _has_room(self, record: targets.TargetRecord) -> bool:
+    def _has_room(
+        self,
+        record: targets.TargetRecord,
+        share_min: int,
+    ) -> bool:
         if self._loads.has_report(record.target):
             return self._loads.load_of(record.target) < record.slots
-        # Without word of the others, each entry takes an equal share, and
-        # one place at least.
+        # Without word of the others, each entry takes an equal share.
         share = -(-record.slots // max(1, self._entries()))
-        return self._loads.own_of(record.target) < share
+        own = self._loads.own_of(record.target)
+        return own < min(record.slots, max(share_min, share))
 
     def _bears_more(
         self,
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -41,6 +41,9 @@
 _STREAM_WAIT_MAX_MS: Final = 1200.0
 #: A plain call waits for a start during this part of its time.
 _PLAIN_WAIT_SHARE: Final = 0.4
+#: Plain calls that an entry may have at one target although it does not know
+#: the load of others: they are short, and come seldom to each entry.
+_PLAIN_SHARE_MIN: Final = 3
 #: Tries that end before anything is sent are cheap, but not free.
 _UNSENT_TRIES_MAX: Final = 3
 #: A caller that meets an entry without current beliefs comes back soon.
@@ -405,7 +408,11 @@
     ) -> verdicts.Outcome:
         if answer.load is not None:
             total = answer.load.running + answer.load.waiting
-            self._loads.note_total(place.target, total)
+            self._loads.note_total(
+                place.target,
+                total,
+                valid_ms=_loads.ANSWER_VALID_MS,
+            )
         if answer.has_not_run or answer.is_other_target:
             return self._judge_refusal(place, answer)
         if answer.head.is_success and answer.is_event_stream:
@@ -515,7 +522,8 @@
     def _demand_of(self, work: _Work) -> _admission.Demand:
         arrived_ms = work.request.arrived_ms
         on_time_ms = _ON_TIME_WAIT_SHARE * work.route.objective_ms
-        if work.route.kind is configuration.RequestKind.STREAM:
+        is_stream = work.route.kind is configuration.RequestKind.STREAM
+        if is_stream:
             wait_ms = _STREAM_WAIT_MAX_MS
         else:
             wait_ms = _PLAIN_WAIT_SHARE * (work.deadline_ms - arrived_ms)
@@ -529,6 +537,7 @@
             wait_until_ms=min(arrived_ms + wait_ms, work.deadline_ms),
             excluded=frozenset(work.excluded),
             cold_rps=self._cold_rps(work.service),
+            share_min=1 if is_stream else _PLAIN_SHARE_MIN,
         )
 
     def _cold_rps(self, service: identifiers.ServiceId) -> float:
--- a/src/carobslip/forwarding/_loads.py
+++ b/src/carobslip/forwarding/_loads.py
@@ -6,8 +6,11 @@
 
 from carobslip import clocks, identifiers, targets
 
-#: A report older than this says nothing about the requests of others.
-_REPORT_FRESH_MS: Final = 1500.0
+#: A report older than this says nothing about the requests of others. What a
+#: coordinator reports is renewed several times in that time.
+REPORT_VALID_MS: Final = 1500.0
+#: What a target says in an answer holds about as long as plain calls take.
+ANSWER_VALID_MS: Final = 100.0
 #: One answer moves the average service time by this share.
 _AVERAGE_SHARE: Final = 0.2
 #: A target that failed is avoided for this long, doubled for each failure in
@@ -24,7 +27,7 @@
     def __init__(self) -> None:
         self.own = 0
         self.others = 0
-        self.reported_ms = -_REPORT_FRESH_MS
+        self.valid_until_ms = 0.0
         self.failures = 0
         self.avoid_until_ms = 0.0
         self.service_ms = 0.0
@@ -67,7 +70,7 @@
         known = self._known.get(target)
         if known is None:
             return False
-        return self._clock.now_ms() - known.reported_ms < _REPORT_FRESH_MS
+        return self._clock.now_ms() < known.valid_until_ms
 
     def own_of(self, target: identifiers.TargetId) -> int:
         """Returns this entry's own requests at a target."""
@@ -154,11 +157,27 @@
         known.avoid_until_ms = max(known.avoid_until_ms, until_ms)
         return avoid_ms
 
-    def note_total(self, target: identifiers.TargetId, total: int) -> None:
-        """Takes a report of all requests at a target into account."""
+    def note_total(
+        self,
+        target: identifiers.TargetId,
+        total: int,
+        *,
+        valid_ms: float = REPORT_VALID_MS,
+    ) -> None:
+        """Takes a report of all requests at a target into account.
+
+        Args:
+            target: The target.
+            total: Its requests, running and waiting.
+            valid_ms: How long the report says something. A shorter one does
+                not take the place of one that is still valid.
+        """
         known = self._get(target)
+        now_ms = self._clock.now_ms()
+        if known.valid_until_ms > now_ms + valid_ms:
+            return
         known.others = max(0, total - known.own)
-        known.reported_ms = self._clock.now_ms()
+        known.valid_until_ms = now_ms + valid_ms
 
     def least_loaded(
         self,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -172,6 +172,19 @@
     play(story)
 
 
+def test_what_a_target_said_in_an_answer_is_soon_forgotten():
+    async def story():
+        load = Load(targets=1, slots=3)
+        load.loads.note_total('t0', 3, valid_ms=100)
+        place = await load.admission.admit(load.demand(wait_ms=0))
+        assert isinstance(place, forwarding.Refusal)
+        await asyncio.sleep(0.11)
+        place = await load.admission.admit(load.demand(wait_ms=0))
+        assert place.target == 't0'
+
+    play(story)
+
+
 def test_without_reports_each_entry_takes_its_share():
     async def story():
         load = Load(targets=1, slots=6, entries=3)
