--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -17,11 +17,21 @@
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_NAME_MAX_CHARS)]
 
 
-class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Base of all messages; the class name is the tag."""
+class _Message(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag=True,
+    array_like=True,
+):
+    """Base of all messages; the class name is the tag.
+
+    Fields travel without their names, in order: new ones go to the end, and a
+    change of order needs another protocol version.
+    """
 
 
-class Origin(msgspec.Struct, frozen=True, kw_only=True):
+class Origin(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The process that sent a message.
 
     Attributes:
@@ -44,7 +54,7 @@
     DEAD = 'dead'
 
 
-class MemberUpdate(msgspec.Struct, frozen=True, kw_only=True):
+class MemberUpdate(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """News about one member, spread with probes.
 
     Attributes:
@@ -117,7 +127,7 @@
     snapshot: targets.TargetSnapshot
 
 
-class RankLoad(msgspec.Struct, frozen=True, kw_only=True):
+class RankLoad(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Requests at one engine, by its address."""
 
     address: Name
@@ -191,7 +201,7 @@
     cost_ms: float = 0
 
 
-class KeyRef(msgspec.Struct, frozen=True, kw_only=True):
+class KeyRef(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A caller's idempotency key within its team."""
 
     team: identifiers.TeamId
@@ -331,7 +341,7 @@
 )
 
 
-class Envelope(msgspec.Struct, frozen=True, kw_only=True):
+class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A message with its origin.
 
     Attributes:
--- a/src/carobslip/expertmap/_group_map.py
+++ b/src/carobslip/expertmap/_group_map.py
@@ -10,14 +10,14 @@
 Layout = tuple[tuple[tuple[int, ...], ...], ...]
 
 
-class ArmedMap(msgspec.Struct, frozen=True, kw_only=True):
+class ArmedMap(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A map that a rank switches to as a pass begins."""
 
     version: int
     step: int
 
 
-class RankReport(msgspec.Struct, frozen=True, kw_only=True):
+class RankReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What an engine says about itself as a rank.
 
     Attributes:
--- a/src/carobslip/expertmap/_lead.py
+++ b/src/carobslip/expertmap/_lead.py
@@ -27,7 +27,7 @@
 _CHOICES_MIN: Final = 500.0
 
 
-class RankNews(msgspec.Struct, frozen=True, kw_only=True):
+class RankNews(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What a guard tells the coordinator of its engine's group.
 
     Attributes:
--- a/src/carobslip/expertmap/_orders.py
+++ b/src/carobslip/expertmap/_orders.py
@@ -35,7 +35,7 @@
     LOST = 'lost'
 
 
-class RankOrder(msgspec.Struct, frozen=True, kw_only=True):
+class RankOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One order.
 
     Attributes:
@@ -57,7 +57,7 @@
     layout: _group_map.Layout = ()
 
 
-class RankAnswer(msgspec.Struct, frozen=True, kw_only=True):
+class RankAnswer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """How an order ended, and the rank's state after it.
 
     Attributes:
