--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -240,6 +240,7 @@
     ),
     'no length, closed': (OK + b'\r\nab', 'closed', b'ab'),
     'no length, reset': (OK + b'\r\nab', 'reset', None),
+    'no length, reset at once': (OK + b'\r\nab', 'reset at once', None),
     'too short': (OK + b'Content-Length: 3\r\n\r\nab', 'closed', None),
     'chunks break off': (
         OK + b'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n',
@@ -308,8 +309,9 @@
             received.put_nowait(head + await reader.readexactly(2))
             writer.write(script['raw'])
             await writer.drain()
-            if script['end'] == 'reset':
-                await asyncio.sleep(0.05)
+            if script['end'] in {'reset', 'reset at once'}:
+                if script['end'] == 'reset':
+                    await asyncio.sleep(0.05)
                 writer.get_extra_info('socket').setsockopt(
                     socket.SOL_SOCKET,
                     socket.SO_LINGER,
