--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 src
+	$(BIN)/flake8 src platform
 	$(BIN)/mypy
 
 format: $(READY)
--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -315,21 +315,25 @@
     fault: Annotated[str, msgspec.Meta(max_length=500)]
 
 
-Message = (
+_MembershipMessage = (
     Probe
     | ProbeRequest
     | ProbeAcknowledged
     | ProbeFailed
     | FetchConfiguration
     | ConfigurationText
-    | FetchTargets
+)
+_ForwardingMessage = (
+    FetchTargets
     | TargetList
     | GroupLoad
     | RankNewsPush
     | OrderRank
     | RankOrdered
     | Noted
-    | Hello
+)
+_GuardMessage = (
+    Hello
     | GuardHint
     | VoteRequest
     | VoteAnswer
@@ -340,6 +344,8 @@
     | Refused
 )
 
+Message = _MembershipMessage | _ForwardingMessage | _GuardMessage
+
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A message with its origin.
--- a/src/carobslip/expertmap/_balance.py
+++ b/src/carobslip/expertmap/_balance.py
@@ -6,6 +6,7 @@
 closely than a few large ones.
 """
 
+import itertools
 from typing import Final
 
 import msgspec
@@ -103,13 +104,12 @@
         worst = self.loads.index(max(self.loads))
         heavy = sorted(self.ranks[worst], key=self.share, reverse=True)
         light = sorted(receivers, key=self.loads.__getitem__)
-        return [
-            change
-            for expert in heavy[:_EXPERTS_TRIED]
-            for rank in light[:_RANKS_TRIED]
-            if rank != worst and expert not in self.ranks[rank]
-            for change in self._copies_to(expert, rank, worst, places)
-        ]
+        pairs = itertools.product(heavy[:_EXPERTS_TRIED], light[:_RANKS_TRIED])
+        found: list[_Change] = []
+        for expert, rank in pairs:
+            if rank != worst and expert not in self.ranks[rank]:
+                found += self._copies_to(expert, rank, worst, places)
+        return found
 
     def strain_after(self, change: _Change) -> float:
         """Returns the strain under a change, without making it."""
@@ -162,8 +162,8 @@
     ) -> None:
         """Updates loads for one holder more or less of an expert."""
         before = self.share(expert)
-        count = self._holders[expert] + (1 if remove is None else -1)
-        after = self._tokens[expert] / count
+        gained = 1 if remove is None else -1
+        after = self._tokens[expert] / (self._holders[expert] + gained)
         for rank, experts in enumerate(self.ranks):
             if expert in experts:
                 loads[rank] += (after - before) * self._paces[rank]
@@ -217,25 +217,13 @@
     Returns:
         None when no change is worth its copies.
     """
-    ranks_count = len(layout[0])
-    pace_by_rank = paces or [1.0] * ranks_count
+    pace_by_rank = paces or [1.0] * len(layout[0])
     states = [
         _SetState(ranks, tokens[index], pace_by_rank)
         for index, ranks in enumerate(layout)
     ]
     before = _mean_skew(states)
-    room = [bounds.copies_per_rank] * ranks_count
-    copies = 0
-    open_states = list(states)
-    while open_states and any(room):
-        state = max(open_states, key=lambda one: one.skew)
-        change = _best_change(state, bounds, room)
-        if change is None:
-            open_states.remove(state)
-            continue
-        state.apply(change)
-        room[change.to_rank] -= 1
-        copies += 1
+    copies = _improve(states, bounds)
     if not copies:
         return None
     return BalancePlan(
@@ -249,6 +237,23 @@
     )
 
 
+def _improve(states: list[_SetState], bounds: BalanceBounds) -> int:
+    """Changes the sets, the most uneven one first; returns the copies."""
+    room = [bounds.copies_per_rank] * len(states[0].ranks)
+    copies = 0
+    open_states = list(states)
+    while open_states and any(room):
+        state = max(open_states, key=lambda one: one.skew)
+        change = _best_change(state, bounds, room)
+        if change is None:
+            open_states.remove(state)
+            continue
+        state.apply(change)
+        room[change.to_rank] -= 1
+        copies += 1
+    return copies
+
+
 def _best_change(
     state: _SetState,
     bounds: BalanceBounds,
--- a/src/carobslip/expertmap/_rank_guard.py
+++ b/src/carobslip/expertmap/_rank_guard.py
@@ -111,14 +111,7 @@
         if is_remote and order.kind is _orders.OrderKind.HOLD:
             return _orders.RankAnswer(end=end, fence=order.fence)
         await asyncio.sleep(_REPORT_LAG_S if is_remote else 0)
-        report = await engine.report()
-        if order.kind is _orders.OrderKind.PREPARE:
-            report = await _wait_for_copies(
-                engine,
-                order,
-                report,
-                _COPY_TIMES * expert_copy_ms,
-            )
+        report = await _report_after(engine, order, expert_copy_ms)
     except _orders.EngineUnavailable:
         end = _orders.OrderEnd.LOST
     return _orders.RankAnswer(
@@ -129,14 +122,17 @@
     )
 
 
-async def _wait_for_copies(
+async def _report_after(
     engine: _orders.EngineControl,
     order: _orders.RankOrder,
-    report: _group_map.RankReport | None,
-    limit_ms: float,
+    expert_copy_ms: float,
 ) -> _group_map.RankReport | None:
-    """Returns the report when the map is complete, or the last one."""
-    for _look in range(int(limit_ms / 1000 / _COPY_LOOK_S)):
+    """Returns the report; after PREPARE when the copies are complete."""
+    report = await engine.report()
+    if order.kind is not _orders.OrderKind.PREPARE:
+        return report
+    limit_ms = _COPY_TIMES * expert_copy_ms
+    for _ in range(int(limit_ms / 1000 / _COPY_LOOK_S)):
         if report is None or report.prepared == order.version:
             break
         await asyncio.sleep(_COPY_LOOK_S)
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -246,22 +246,23 @@
             layout=layout,
         )
         ready: set[int] = set()
-        for _try in range(_PREPARE_TRIES):
+        for _ in range(_PREPARE_TRIES):
             asked = [rank for rank in range(self._size) if rank not in ready]
             answers = await self._order_all(order, ready)
-            for rank, answer in zip(asked, answers, strict=True):
-                report = answer.report
-                if report is not None and report.prepared == version:
-                    ready.add(rank)
-                elif answer.end is _orders.OrderEnd.REFUSED:
-                    return False
+            ready |= {
+                rank
+                for rank, answer in zip(asked, answers, strict=True)
+                if _has_prepared(answer, version)
+            }
             if len(ready) == self._size:
                 return True
+            if any(one.end is _orders.OrderEnd.REFUSED for one in answers):
+                return False
         return False
 
     async def _hold(self) -> int | None:
         """Holds a near pass; returns its number."""
-        for _try in range(_HOLD_TRIES):
+        for _ in range(_HOLD_TRIES):
             report = await self._report_of(self._own_rank)
             if report is None:
                 return None
@@ -321,18 +322,20 @@
             answers = await asyncio.gather(
                 *(self._give(rank, order) for rank in asked),
             )
-            for rank, answer in zip(asked, answers, strict=True):
-                if answer.report is not None and answer.report.armed == wanted:
-                    missing.discard(rank)
-                elif answer.end is _orders.OrderEnd.REFUSED:
-                    return False
+            missing -= {
+                rank
+                for rank, answer in zip(asked, answers, strict=True)
+                if answer.report is not None and answer.report.armed == wanted
+            }
+            if any(_is_refused(one, wanted) for one in answers):
+                return False
             if missing:
                 await asyncio.sleep(_ARM_PAUSE_S)
         return not missing
 
     async def _wait_for_pass(self, version: int) -> SwitchResult:
         """Waits until the pass of the switch has begun."""
-        for _try in range(_PASS_TRIES):
+        for _ in range(_PASS_TRIES):
             report = await self._report_of(self._own_rank)
             if report is not None and report.map_version == version:
                 return SwitchResult.SWITCHED
@@ -355,7 +358,7 @@
         if present is not None:
             neutral = self._next_version(await self._ask_all())
         done = set(absent)
-        for _try in range(_UNDO_TRIES):
+        for _ in range(_UNDO_TRIES):
             asked = [rank for rank in range(self._size) if rank not in done]
             if version:
                 await self._order_all(
@@ -396,7 +399,7 @@
     async def _go(self, step: int, absent: set[int]) -> None:
         """Ends a hold wherever it stands, until no rank reports it."""
         order = self._order(_orders.OrderKind.GO, step=step)
-        for _try in range(_UNDO_TRIES):
+        for _ in range(_UNDO_TRIES):
             answers = await self._order_all(order, absent)
             stands = [
                 answer.report is None or answer.report.held == step
@@ -490,6 +493,19 @@
         return self._version
 
 
+def _has_prepared(answer: _orders.RankAnswer, version: int) -> bool:
+    return answer.report is not None and answer.report.prepared == version
+
+
+def _is_refused(
+    answer: _orders.RankAnswer,
+    wanted: _group_map.ArmedMap,
+) -> bool:
+    """Tells whether an arming was refused, and is not in force either."""
+    is_armed = answer.report is not None and answer.report.armed == wanted
+    return answer.end is _orders.OrderEnd.REFUSED and not is_armed
+
+
 def _is_neutral(answer: _orders.RankAnswer, version: int) -> bool:
     """Tells whether no earlier map can be armed at a rank any more."""
     report = answer.report
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 
@@ -360,9 +360,7 @@
                 await asyncio.wait((call,), timeout=_STALL_LOOK_S)
             return call.result()
         finally:
-            stall.cancel()
-            call.cancel()
-            await asyncio.gather(call, stall, return_exceptions=True)
+            await _cancel_all(call, stall)
 
     def _can_move(self, work: _Work, place: targets.TargetRecord) -> bool:
         """Tells whether a call at a stalled target may start elsewhere."""
@@ -639,6 +637,12 @@
         )
 
 
+async def _cancel_all(*tasks: asyncio.Future[Any]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def _read_whole(answer: _ports.TargetAnswer) -> bytes:
     parts = []
     size_bytes = 0
--- a/src/carobslip/observability/_book.py
+++ b/src/carobslip/observability/_book.py
@@ -57,8 +57,11 @@
             f'{_clean(name)} {level:g}'
             for name, level in sorted(self._levels.items())
         ]
-        for name, known in sorted(self._histograms.items()):
-            lines += _histogram_lines(_clean(name), known)
+        histograms = [
+            _histogram_lines(_clean(name), known)
+            for name, known in sorted(self._histograms.items())
+        ]
+        lines.extend(itertools.chain.from_iterable(histograms))
         return '\n'.join(lines) + '\n'
 
 
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -101,7 +101,7 @@
         own: GroupGuardSettings,
         engine_at: Callable[[str], expertmap.EngineControl],
         metrics: observability.Metrics,
-        on_started: Callable[['GroupGuard'], None] = lambda _guard: None,
+        on_started: Callable[['GroupGuard'], None] | None = None,
     ) -> None:
         super().__init__()
         self._on_started = on_started
@@ -152,7 +152,8 @@
         self._member.node.on(control.RankNewsPush, self._on_news)
         self._member.node.on(control.OrderRank, self._on_order)
         self.run_task(self._run())
-        self._on_started(self)
+        if self._on_started is not None:
+            self._on_started(self)
 
     def run_task(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs work of an adapter until the process stops."""
