Membership: processes that all start anew find each other in a second

Ruled out: the start itself (the engines' reports and the configuration were there at once).

Guards read rank and group before they join, and every process asks a seed five times in its first second. Test: sixteen guards that start within 0.3 s know each other after one second; failed before.

--- a/src/carobslip/membership/_prober.py
+++ b/src/carobslip/membership/_prober.py
@@ -17,6 +17,10 @@
 _SEED_PERIODS: Final = 8
 _SEED_PERIODS_EARLY: Final = 2
 _EARLY_PERIODS: Final = 24
+#: Right after its start a process asks a seed this often, so many times:
+#: processes that all started anew find each other within a second.
+_OPENING_PAUSE_S: Final = 0.15
+_OPENING_ROUNDS: Final = 5
 #: Members named in an answer to a joining process; a message holds 64.
 _JOIN_NEWS_MAX: Final = 56
 #: Peers told at once about a new configuration.
@@ -80,6 +84,7 @@
 
     async def run(self) -> None:
         """Probes for ever; one task."""
+        await self._find_members()
         while True:
             await asyncio.sleep(self._settings.period_ms / 1000)
             self._expire_suspects()
@@ -108,6 +113,11 @@
         self.table.announce_leaving()
         await self.push()
 
+    async def _find_members(self) -> None:
+        for _ in range(_OPENING_ROUNDS if self._seeds else 0):
+            await asyncio.sleep(_OPENING_PAUSE_S)
+            await self._join_at(self._random.choice(self._seeds))
+
     async def _join_at(self, address: str) -> None:
         await self._exchange(
             address,
--- a/src/carobslip/processes/__init__.py
+++ b/src/carobslip/processes/__init__.py
@@ -7,11 +7,13 @@
     ForwardingEntry,
     ForwardingEntrySettings,
 )
+from carobslip.processes._group_guard import PROBING as GROUP_PROBING
 from carobslip.processes._group_guard import GroupGuard, GroupGuardSettings
 from carobslip.processes._guard import GuardProcess
 from carobslip.processes._runner import run_process
 
 __all__ = [
+    'GROUP_PROBING',
     'PROBING',
     'EntryProcess',
     'ForwardingAdapters',
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -42,7 +42,8 @@
 _COPY_TIMES: Final = 4
 #: Entries hear of the group's load every so many periods.
 _LOAD_PERIODS: Final = 2
-_PROBING: Final = membership.ProberSettings(
+#: Guards probe less often than entries: callers do not depend on them.
+PROBING: Final = membership.ProberSettings(
     period_ms=500,
     timeout_ms=150,
     suspicion_ms=1000,
@@ -147,7 +148,7 @@
                 reader_roles=frozenset((directory.Role.ENTRY,)),
                 lists_instances=False,
             ),
-            probing=_PROBING,
+            probing=PROBING,
         )
         self._member.node.on(control.RankNewsPush, self._on_news)
         self._member.node.on(control.OrderRank, self._on_order)
@@ -170,6 +171,7 @@
         await self._member.close()
 
     async def _run(self) -> None:
+        await self._look_first()
         await self._member.join()
         self.log.write(
             observability.Event.PROCESS_STARTED,
@@ -187,6 +189,15 @@
                 await self._note_engine_silent(str(fault))
             await asyncio.sleep(period_s)
 
+    async def _look_first(self) -> None:
+        """Reads group and rank, so that the first word to peers has them."""
+        try:
+            self._report = await self._engine.report()
+        except expertmap.EngineUnavailable as fault:
+            self.log.write(observability.Event.ENGINE_SILENT, fault=str(fault))
+        if self._report is not None:
+            self._renew_record(self._report.group, self._report.rank)
+
     async def _note_engine_silent(self, fault: str) -> None:
         self._metrics.count('engine_silent')
         self._engine_silences += 1
--- a/tests/test_unlisted_fleet.py
+++ b/tests/test_unlisted_fleet.py
@@ -52,7 +52,7 @@
                 reader_roles=READERS,
                 lists_instances=False,
             ),
-            probing=processes.PROBING,
+            probing=processes.PROBING if is_entry else processes.GROUP_PROBING,
         )
         self.hosts[name] = host
         self.members[name] = member
@@ -186,3 +186,21 @@
     await asyncio.sleep(6)
     for name in scene.members:
         assert len(scene.known_to(name)) == 7, name
+
+
+@hosts.virtual
+async def test_guards_that_all_start_anew_know_each_other_in_a_second():
+    scene = Unlisted(entries=7, guards=0)
+    await scene.start()
+    chance = random.Random(5)
+
+    async def start_late(name):
+        await asyncio.sleep(chance.uniform(0, 0.3))
+        await scene.add(name)
+
+    names = [f'guard-{number}' for number in range(16)]
+    await asyncio.gather(*(start_late(name) for name in names))
+    await asyncio.sleep(0.7)
+    for name in names:
+        known = {member.record.instance for member in scene.members[name].table}
+        assert set(names) <= known
