Expert maps: a coordinator knows a lost rank in half a second

The group also counted as broken only after a second of silence.

A rank whose engine leaves two direct questions without an answer now makes the group broken, and news of a broken group name all its engines. Guards that are silent beside an engine that answers, and lost news, do not: tests in tests/test_group_lead.py, three of them seen failing first.

--- a/src/carobslip/expertmap/_lead.py
+++ b/src/carobslip/expertmap/_lead.py
@@ -15,6 +15,9 @@
 _SILENCE_MS: Final = 250.0
 #: A group counts as closed when a rank has not been heard of for this long.
 _LOST_RANK_MS: Final = 1000.0
+#: It counts as closed sooner if the rank's engine left this many questions in
+#: a row without an answer: its machine is gone or hangs, not its guard alone.
+_UNANSWERED_MAX: Final = 2
 #: A hold that has stood for this long cannot be ended at present.
 _STUCK_MS: Final = 600.0
 #: A hold or an armed map that no switch of this coordinator explains is
@@ -101,11 +104,14 @@
         self._step_margin = _switch.STEP_MARGIN_MIN
         self._work: asyncio.Task[None] | None = None
         self._questions: dict[int, asyncio.Task[None]] = {}
+        self._unanswered: dict[int, int] = {}
         self._began_ms = clock.now_ms()
 
     @property
     def is_broken(self) -> bool:
         """Tells whether requests to the group would stall."""
+        if self._has_lost_rank():
+            return True
         now_ms = self._clock.now_ms()
         if now_ms - self._began_ms < _LOST_RANK_MS:
             return False
@@ -128,8 +134,12 @@
         return len(epochs) == 1 and all(one.is_open for one in reports)
 
     def loads(self) -> list[tuple[str, int, int]]:
-        """Returns address, running and waiting requests of each rank."""
-        return [
+        """Returns address, running and waiting requests of each rank.
+
+        Ranks that were never heard of are among them while the group is
+        broken, as such a rank may be the reason.
+        """
+        known = [
             (
                 heard.news.address,
                 heard.news.report.running,
@@ -137,6 +147,16 @@
             )
             for _rank, heard in sorted(self._heard.items())
         ]
+        if not self.is_broken:
+            return known
+        reports = [heard.news.report for heard in self._heard.values()]
+        size = max((report.size for report in reports), default=0)
+        addresses = [
+            self._ranks.address_of(rank)
+            for rank in range(size)
+            if rank not in self._heard
+        ]
+        return known + [(one, 0, 0) for one in addresses if one is not None]
 
     def hear(self, news: RankNews) -> None:
         """Takes news of a rank."""
@@ -146,7 +166,7 @@
             same_address = known.news.address == news.address
             if same_address and news.sequence == known.news.sequence:
                 return
-        self._heard[rank] = _Heard(news, self._clock.now_ms())
+        self._note_heard(news)
         self._add_counts(news.counts)
 
     def tick(self) -> None:
@@ -186,7 +206,13 @@
     def _ask_silent_ranks(self) -> None:
         oldest_ms = self._clock.now_ms() - _SILENCE_MS
         reports = self._fresh_reports()
-        for rank in range(reports[0].size if reports else 0):
+        size = reports[0].size if reports else 0
+        self._unanswered = {
+            rank: count
+            for rank, count in self._unanswered.items()
+            if rank < size
+        }
+        for rank in range(size):
             heard = self._heard.get(rank)
             question = self._questions.get(rank)
             is_asked = question is not None and not question.done()
@@ -202,9 +228,13 @@
                 epoch=self._epoch,
                 fence=self._fence,
             ),
+            through=self._own_rank,
         )
         address = self._ranks.address_of(rank)
         if answer.report is None or address is None:
+            # Without an address, nobody was asked.
+            silent = 0 if address is None else 1
+            self._unanswered[rank] = self._unanswered.get(rank, 0) + silent
             return
         news = RankNews(
             report=answer.report,
@@ -212,7 +242,22 @@
             counts=(),
             address=address,
         )
+        self._note_heard(news)
+
+    def _note_heard(self, news: RankNews) -> None:
+        rank = news.report.rank
         self._heard[rank] = _Heard(news, self._clock.now_ms())
+        self._unanswered.pop(rank, None)
+
+    def _has_lost_rank(self) -> bool:
+        """Tells whether a rank's machine has been silent altogether."""
+        oldest_ms = self._clock.now_ms() - _NEWS_FRESH_MS
+        for rank, count in self._unanswered.items():
+            heard = self._heard.get(rank)
+            is_fresh = heard is not None and heard.at_ms >= oldest_ms
+            if count >= _UNANSWERED_MAX and not is_fresh:
+                return True
+        return False
 
     async def _act(self, settings: LeadSettings, size: int) -> None:
         layout = self._layout
--- /dev/null
+++ b/tests/test_group_lead.py
@@ -0,0 +1,143 @@
+"""How soon a coordinator says that its group stands still."""
+
+import asyncio
+import random
+
+import looptime
+import pytest
+
+from carobslip import clocks, expertmap
+from tests.fakes import cluster, engine_group
+
+SIZE = 8
+PERIOD_S = 0.1
+ORDER_S = 0.1
+
+
+class Ranks:
+    """Engines and guards; some are silent."""
+
+    def __init__(self, clock, *, lost_share=0.0):
+        self.group = engine_group.FakeGroup(SIZE, seed=1)
+        self.clock = clock
+        self.random = random.Random(3)
+        self.lost_share = lost_share
+        self.silent_guards = set()
+        self.silent_engines = set()
+
+    async def order(self, rank, order, *, through=None):
+        await asyncio.sleep(ORDER_S)
+        if rank in self.silent_engines or self.is_lost():
+            return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
+        engine = self.group.engines[rank]
+        return expertmap.RankAnswer(
+            end=engine.apply(order)
+            if order.kind is not expertmap.OrderKind.REPORT
+            else expertmap.OrderEnd.DONE,
+            report=engine.report_now(),
+        )
+
+    def address_of(self, rank):
+        return f'engine-{rank}'
+
+    def is_lost(self):
+        return self.random.random() < self.lost_share
+
+
+class Scene:
+    """A lead whose ranks send their news each period."""
+
+    def __init__(self, **named):
+        self.clock = clocks.LoopClock(epoch_ms=cluster.EPOCH_MS)
+        self.ranks = Ranks(self.clock, **named)
+        self.sequence = 0
+        self.lead = self.new_lead()
+
+    def new_lead(self):
+        return expertmap.GroupLead(
+            group=engine_group.GROUP,
+            own_rank=0,
+            ranks=self.ranks,
+            clock=self.clock,
+            log=cluster.SilentLog(),
+        )
+
+    async def run(self, duration_s):
+        """Returns after how long the group was first called broken."""
+        broken_s = None
+        for period in range(round(duration_s / PERIOD_S)):
+            self.sequence += 1
+            for rank in range(SIZE):
+                if rank in self.ranks.silent_guards or self.ranks.is_lost():
+                    continue
+                self.lead.hear(
+                    expertmap.RankNews(
+                        report=self.ranks.group.engines[rank].report_now(),
+                        sequence=self.sequence,
+                        counts=(),
+                        address=f'engine-{rank}',
+                    ),
+                )
+            self.lead.tick()
+            await asyncio.sleep(PERIOD_S)
+            if self.lead.is_broken and broken_s is None:
+                broken_s = (period + 1) * PERIOD_S
+        return broken_s
+
+
+def play(story):
+    loop = looptime.new_event_loop()
+    try:
+        return loop.run_until_complete(story())
+    finally:
+        loop.close()
+
+
+# name: (silent guards, silent engines, a new lead, known broken within s)
+SILENCES = {
+    'machine of a rank hangs': ({3}, {3}, False, 0.7),
+    'machine of the former coordinator hangs': ({3}, {3}, True, 0.5),
+    'guard of a rank hangs': ({3}, set(), False, None),
+    'guard hangs as a new lead begins': ({3}, set(), True, None),
+    'nobody hangs': (set(), set(), False, None),
+}
+
+
+@pytest.mark.parametrize('name', SILENCES)
+def test_a_group_that_stands_still_is_known_soon(name):
+    guards, engines, is_new, within_s = SILENCES[name]
+
+    async def story():
+        scene = Scene()
+        assert await scene.run(2) is None
+        scene.ranks.silent_guards = guards
+        scene.ranks.silent_engines = engines
+        if is_new:
+            scene.lead = scene.new_lead()
+        broken_s = await scene.run(3)
+        if within_s is None:
+            assert broken_s is None
+        else:
+            assert broken_s <= within_s
+
+    play(story)
+
+
+def test_lost_news_and_answers_are_no_stall():
+    async def story():
+        scene = Scene(lost_share=0.2)
+        assert await scene.run(60) is None
+
+    play(story)
+
+
+def test_a_rank_that_a_new_lead_never_heard_of_is_named():
+    async def story():
+        scene = Scene()
+        scene.ranks.silent_guards = {3}
+        scene.ranks.silent_engines = {3}
+        await scene.run(1)
+        named = {address for address, _running, _waiting in scene.lead.loads()}
+        assert named == {f'engine-{rank}' for rank in range(SIZE)}
+
+    play(story)
