Callers: limits on headers, slow requests and idle connections

Statuses of outcomes stood twice, with different answers for an unknown route in the body and on the wire; entry.status_of serves both now, and gives no 408 or 503 unless the request has not run. The judgement which HTTP client faults prove that nothing was sent stood three times; adapters/client_faults.py.

--- a/src/carobslip/adapters/guard_client.py
+++ b/src/carobslip/adapters/guard_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from carobslip import attempts, entry
+from carobslip.adapters import client_faults
 
 _CONNECT_TIMEOUT_S: Final = 0.5
 
@@ -37,11 +38,10 @@
 
     async def _read_exactly(self, length: int) -> bytes:
         try:
-            return await self._stream.readexactly(length)
+            with client_faults.judge_reading(lost=entry.GuardLost):
+                return await self._stream.readexactly(length)
         except asyncio.IncompleteReadError:
             raise EOFError from None
-        except (aiohttp.ClientError, OSError) as fault:
-            raise entry.GuardLost(repr(fault)) from None
 
 
 class HttpGuardClient:
@@ -88,7 +88,10 @@
         body: bytes,
     ) -> aiohttp.ClientResponse:
         header = attempts.encode_attempt(attempt)
-        try:
+        with client_faults.judge_sending(
+            not_reached=entry.GuardNotReached,
+            lost=entry.GuardLost,
+        ):
             return await self._session.post(
                 f'http://{address}/run',
                 data=body,
@@ -97,13 +100,6 @@
                     'Content-Type': 'application/octet-stream',
                 },
             )
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as fault:
-            raise entry.GuardNotReached(repr(fault)) from None
-        except (aiohttp.ClientError, OSError, TimeoutError) as fault:
-            raise entry.GuardLost(repr(fault)) from None
 
 
 def new_session() -> aiohttp.ClientSession:
--- a/src/carobslip/adapters/target_client.py
+++ b/src/carobslip/adapters/target_client.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from carobslip import guard
+from carobslip.adapters import client_faults
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _PROBE_TIMEOUT_S: Final = 1.0
@@ -25,11 +26,9 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives."""
-        try:
+        with client_faults.judge_reading():
             async for content in self._response.content.iter_any():
                 yield content
-        except (aiohttp.ClientError, OSError) as fault:
-            raise guard.TargetLost(repr(fault)) from None
 
 
 class HttpTarget:
@@ -91,7 +90,7 @@
         await self._session.close()
 
     async def _send(self, call: guard.TargetCall) -> aiohttp.ClientResponse:
-        try:
+        with client_faults.judge_sending():
             return await self._session.request(
                 call.method,
                 f'{self._base_url}/{call.path.lstrip("/")}',
@@ -99,14 +98,6 @@
                 headers=_headers(call),
                 allow_redirects=False,
             )
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-            aiohttp.InvalidURL,
-        ) as fault:
-            raise guard.TargetNotReached(repr(fault)) from None
-        except (aiohttp.ClientError, OSError, TimeoutError) as fault:
-            raise guard.TargetLost(repr(fault)) from None
 
 
 def _headers(call: guard.TargetCall) -> dict[str, str]:
--- a/src/carobslip/entry/_statuses.py
+++ b/src/carobslip/entry/_statuses.py
@@ -11,6 +11,10 @@
     _Reason.KEY_IN_FUTURE: 400,
     _Reason.UNKNOWN_SERVICE: 404,
     _Reason.BODY_TOO_LARGE: 413,
+    _Reason.HEADERS_TOO_LARGE: 431,
+    _Reason.REQUEST_TIMEOUT: 408,
+    _Reason.UNKNOWN_ROUTE: 404,
+    _Reason.UNKNOWN_KEY: 401,
     _Reason.KEY_CONFLICT: 422,
     _Reason.DEADLINE_PASSED: 504,
     _Reason.QUEUE_TIMEOUT: 503,
@@ -26,6 +30,9 @@
     _Reason.INTERNAL_ERROR: 500,
 }
 _STATUS_OTHERWISE: Final = 503
+#: Statuses that promise that the request has not run.
+_PROMISES: Final = frozenset((408, 503))
+_STATUS_WITHOUT_PROMISE: Final = 502
 
 
 def status_of(outcome: verdicts.Outcome) -> int:
@@ -33,5 +40,11 @@
 
     >>> status_of(verdicts.not_run(verdicts.Reason.QUEUE_FULL))
     503
+    >>> status_of(verdicts.may_have_run(verdicts.Reason.NO_ROOM))
+    502
     """
-    return _STATUS_BY_REASON.get(outcome.reason, _STATUS_OTHERWISE)
+    status = _STATUS_BY_REASON.get(outcome.reason, _STATUS_OTHERWISE)
+    has_not_run = outcome.verdict is verdicts.Verdict.NOT_RUN
+    if status in _PROMISES and not has_not_run:
+        return _STATUS_WITHOUT_PROMISE
+    return status
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -128,6 +128,11 @@
         'caller-left',
         'The caller closed its connection before the answer was complete.',
     )
+    CALLER_SLOW = (
+        408,
+        'caller-slow',
+        'A caller took too long to send a request; its connection was closed.',
+    )
     LOG_LINES_DROPPED = (
         107,
         'log-lines-dropped',
--- a/src/carobslip/verdicts/_reason.py
+++ b/src/carobslip/verdicts/_reason.py
@@ -11,6 +11,8 @@
     BAD_REQUEST = 'bad-request'
     UNKNOWN_SERVICE = 'unknown-service'
     BODY_TOO_LARGE = 'body-too-large'
+    HEADERS_TOO_LARGE = 'headers-too-large'
+    REQUEST_TIMEOUT = 'request-timeout'
     DEADLINE_PASSED = 'deadline-passed'
     NO_TARGET = 'no-target'
     NOT_CONNECTED = 'not-connected'
