Forwarding: requests wait for targets that return, and keep their place in a move

* Of several targets listed at one address, the one that started last is used, and one that answered as another is out until its entry moves.
* A request leaves a stalled target only once it has another place.
* A few wait for a service without targets; others hear of a later return.
* News that a group is open again forgives its targets.
* The last log line of a request has its wait and its first event.

--- a/src/carobslip/expertmap/_lead.py
+++ b/src/carobslip/expertmap/_lead.py
@@ -28,6 +28,11 @@
 _KEPT_SHARE: Final = 0.3
 #: Choices since the last switch without which a layout is not judged.
 _CHOICES_MIN: Final = 500.0
+#: Below this part of its slots a group is calm: passes are short whatever the
+#: layout, and only what lowers the most loaded rank by a twentieth is worth its
+#: copies (a fall of the strain, an eighth power, by three tenths).
+_CALM_SHARE: Final = 0.5
+_CALM_GAIN_MIN: Final = 0.3
 
 
 class RankNews(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -52,11 +57,13 @@
     Attributes:
         sets: Sets of layers with a map each.
         experts: Experts in a set.
+        slots: Requests that an engine runs at once.
         bounds: Bounds of new layouts.
     """
 
     sets: int
     experts: int
+    slots: int
     bounds: _balance.BalanceBounds
 
 
@@ -281,8 +288,13 @@
         choices = sum(sum(tokens) for tokens in self._tokens)
         if choices < _CHOICES_MIN or len(self._tokens) != len(layout):
             return None
-        paces = [report.pace for report in self._fresh_reports()]
-        return _balance.balance(layout, self._tokens, settings.bounds, paces)
+        reports = self._fresh_reports()
+        paces = [report.pace for report in reports]
+        bounds = settings.bounds
+        running = sum(report.running for report in reports)
+        if running < _CALM_SHARE * settings.slots * len(reports):
+            bounds = msgspec.structs.replace(bounds, gain_min=_CALM_GAIN_MIN)
+        return _balance.balance(layout, self._tokens, bounds, paces)
 
     async def _run_switch(
         self,
--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -27,6 +27,13 @@
 #: The foreseen wait is a mean; this part of the time leaves room for those
 #: that wait longer.
 _FORESIGHT_SHARE: Final = 0.75
+#: So many requests wait for a service of which no target is known at all:
+#: targets that all went together come back together, and soon.
+_BLIND_WAITERS_MAX: Final = 8
+#: Who finds no target at all is told to come back after this time; a group
+#: needs some seconds to form anew.
+_RETRY_GONE_MIN_MS: Final = 1000.0
+_RETRY_GONE_MAX_MS: Final = 2500.0
 #: Waiters are looked at this often even if nothing else happens.
 _TICK_S: Final = 0.05
 
@@ -120,9 +127,13 @@
         """Returns how many requests wait for a service."""
         return len(self._waiters.get(service, ()))
 
-    def has_room(self, demand: Demand) -> bool:
-        """Tells whether a request could start at once."""
-        return self._find_place(demand) is not None
+    def take(self, demand: Demand) -> targets.TargetRecord | None:
+        """Takes a place that is free now, past the queue, if there is one.
+
+        For a request that has waited at a target already.
+        """
+        record = self._find_place(demand)
+        return None if record is None else self._start(record)
 
     async def admit(self, demand: Demand) -> targets.TargetRecord | Refusal:
         """Waits for a place; the caller must give it back with ``release``.
@@ -185,15 +196,24 @@
 
     def _foresee(self, demand: Demand) -> Refusal | None:
         """Refuses a request that cannot start in time."""
-        candidates = self._candidates(demand.service)
+        allowed = [
+            record
+            for record in self._candidates(demand.service)
+            if record.target not in demand.excluded
+        ]
         usable = [
             record
-            for record in candidates
+            for record in allowed
             if not self._loads.is_avoided(record.target)
-            and record.target not in demand.excluded
         ]
+        if not usable and self._is_worth_waiting(demand, allowed):
+            return None
         if not usable:
-            return self._refuse('no usable target', demand.service)
+            return self._refuse(
+                'no usable target',
+                demand.service,
+                retry_ms=(_RETRY_GONE_MIN_MS, _RETRY_GONE_MAX_MS),
+            )
         ahead = 1 + sum(
             waiter.demand.priority <= demand.priority
             for waiter in self._waiters.get(demand.service, ())
@@ -205,14 +225,37 @@
             return self._refuse('queue too long', demand.service)
         return None
 
+    def _is_worth_waiting(
+        self,
+        demand: Demand,
+        avoided: Sequence[targets.TargetRecord],
+    ) -> bool:
+        """Tells whether targets may return in time for a request.
+
+        No more requests wait for that than this entry's share of the slots of
+        those that have just failed: they all start at once then.
+        """
+        waiting = self.waiting(demand.service)
+        if not avoided:
+            return waiting < _BLIND_WAITERS_MAX
+        slots = sum(
+            record.slots
+            for record in avoided
+            if self._loads.avoided_until_ms(record.target)
+            < demand.wait_until_ms
+        )
+        return waiting < slots / max(1, self._entries())
+
     def _refuse(
         self,
         reason: str,
         service: identifiers.ServiceId,
+        *,
+        retry_ms: tuple[float, float] = (_RETRY_MIN_MS, _RETRY_MAX_MS),
     ) -> Refusal:
         return Refusal(
             reason=reason,
-            retry_after_ms=self._random.uniform(_RETRY_MIN_MS, _RETRY_MAX_MS),
+            retry_after_ms=self._random.uniform(*retry_ms),
             waiting=self.waiting(service),
         )
 
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -44,8 +44,12 @@
 #: Plain calls that an entry may have at one target although it does not know
 #: the load of others: they are short, and come seldom to each entry.
 _PLAIN_SHARE_MIN: Final = 3
-#: Tries that end before anything is sent are cheap, but not free.
-_UNSENT_TRIES_MAX: Final = 3
+#: Tries that provably end without a run are cheap, but not free.
+_UNRUN_TRIES_MAX: Final = 4
+#: After this many rejections in a row targets are forming or full; those that
+#: rejected the request are asked again after the pause.
+_REJECTIONS_BEFORE_PAUSE: Final = 2
+_REJECTED_PAUSE_S: Final = 0.25
 #: A caller that meets an entry without current beliefs comes back soon.
 _RETRY_SOON_MS: Final = 500
 #: A process that has just started knows its configuration within this time.
@@ -109,15 +113,25 @@
         self.team = team
         self.service = service
         self.sent = 0
-        self.unsent = 0
+        self.arrivals = 0
+        self.unrun = 0
         self.is_at_target = False
         self.may_have_run = False
         self.begun = False
+        self.next_place: targets.TargetRecord | None = None
+        self.waited_ms = 0.0
+        self.first_event_ms: float | None = None
         self.last_event: int | None = None
-        self.excluded: set[identifiers.TargetId] = set()
+        self.lost_at: set[identifiers.TargetId] = set()
+        self.rejected_by: set[identifiers.TargetId] = set()
         patience_ms = min(request.patience_ms, route.timeout_ms)
         self.deadline_ms = request.arrived_ms + patience_ms
 
+    @property
+    def excluded(self) -> frozenset[identifiers.TargetId]:
+        """Targets that are not tried now."""
+        return frozenset(self.lost_at | self.rejected_by)
+
     @property
     def resume_after(self) -> str | None:
         """The event after which a stream goes on, if any."""
@@ -286,8 +300,15 @@
         return _Work(request, caller, route, team, service)
 
     async def _try_all(self, work: _Work) -> verdicts.Outcome:
+        try:
+            return await self._try_in_turn(work)
+        finally:
+            if work.next_place is not None:
+                self.admission.release(work.next_place)
+
+    async def _try_in_turn(self, work: _Work) -> verdicts.Outcome:
         while True:
-            place = await self.admission.admit(self._demand_of(work))
+            place = await self._next_place(work)
             if isinstance(place, _admission.Refusal):
                 return self._conclude(work, place)
             try:
@@ -296,20 +317,39 @@
                 self.admission.release(place)
             if outcome.verdict is _Verdict.RAN:
                 return outcome
-            work.excluded.add(place.target)
             if outcome.verdict is _Verdict.MAY_HAVE_RUN:
                 work.may_have_run = True
+                work.lost_at.add(place.target)
+                work.rejected_by.clear()
+            else:
+                work.rejected_by.add(place.target)
             if not self._may_try_again(work):
                 return self._give_up(work, outcome)
+            if work.unrun >= _REJECTIONS_BEFORE_PAUSE:
+                await asyncio.sleep(_REJECTED_PAUSE_S)
+                work.rejected_by.clear()
+
+    async def _next_place(
+        self,
+        work: _Work,
+    ) -> targets.TargetRecord | _admission.Refusal:
+        place = work.next_place
+        if place is not None:
+            work.next_place = None
+            return place
+        asked_ms = self._clock.now_ms()
+        admitted = await self.admission.admit(self._demand_of(work))
+        work.waited_ms += self._clock.now_ms() - asked_ms
+        return admitted
 
     def _may_try_again(self, work: _Work) -> bool:
         if work.may_have_run and not work.route.may_repeat:
             return False
-        if work.unsent >= _UNSENT_TRIES_MAX:
+        if work.unrun >= _UNRUN_TRIES_MAX:
             return False
         if work.sent >= work.route.attempts_max:
             return False
-        return work.sent == 0 or self._budget.try_spend(work.service)
+        return work.arrivals == 0 or self._budget.try_spend(work.service)
 
     async def _try_one(
         self,
@@ -319,6 +359,7 @@
         """Sends the request to one target, and judges how that ended."""
         started_ms = self._clock.now_ms()
         work.sent += 1
+        work.arrivals += 1
         work.is_at_target = True
         outcome = await self._call_unless_stalled(work, place)
         work.is_at_target = False
@@ -326,6 +367,9 @@
         if outcome.verdict is _Verdict.RAN:
             self._loads.note_success(place.target, took_ms)
         else:
+            if outcome.verdict is _Verdict.NOT_RUN:
+                work.sent -= 1
+                work.unrun += 1
             self._log.write(
                 observability.Event.ATTEMPT_ENDED,
                 request=work.request.request_id,
@@ -352,7 +396,7 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             while not call.done():
-                if self._can_move(work, place):
+                if self._move(work, place):
                     return verdicts.may_have_run(
                         _Reason.TARGET_FAILED,
                         'its group stands still',
@@ -362,14 +406,19 @@
         finally:
             await _cancel_all(call, stall)
 
-    def _can_move(self, work: _Work, place: targets.TargetRecord) -> bool:
-        """Tells whether a call at a stalled target may start elsewhere."""
+    def _move(self, work: _Work, place: targets.TargetRecord) -> bool:
+        """Takes a place elsewhere for a call at a stalled target.
+
+        The call is given up only once it has another place.
+        """
         if not self.stalls.is_stalled(place.target):
             return False
         if not work.route.may_repeat or work.sent >= work.route.attempts_max:
             return False
-        has_room = self.admission.has_room(self._demand_of(work))
-        return has_room and self._budget.has_room(work.service)
+        if not self._budget.has_room(work.service):
+            return False
+        work.next_place = self.admission.take(self._demand_of(work))
+        return work.next_place is not None
 
     async def _call(
         self,
@@ -390,8 +439,7 @@
             async with self._port.call(call) as answer:
                 return await self._pass_on(work, place, answer)
         except guard.TargetNotReached as fault:
-            work.sent -= 1
-            work.unsent += 1
+            work.arrivals -= 1
             self._note_failure(place, is_unreachable=True)
             return verdicts.not_run(_Reason.NOT_CONNECTED, str(fault))
         except guard.TargetLost as fault:
@@ -451,7 +499,7 @@
         answer: _ports.TargetAnswer,
     ) -> verdicts.Outcome:
         if answer.is_other_target:
-            self._note_failure(place, is_unreachable=True)
+            self._book.note_replaced(place.target)
             return verdicts.not_run(_Reason.WRONG_INCARNATION)
         culprit = answer.culprit
         if culprit is not None and culprit != place.target:
@@ -509,10 +557,9 @@
     ) -> None:
         if not work.begun:
             work.begun = True
-            self._metrics.time_ms(
-                'first_event',
-                self._clock.now_ms() - work.request.arrived_ms,
-            )
+            after_ms = self._clock.now_ms() - work.request.arrived_ms
+            work.first_event_ms = after_ms
+            self._metrics.time_ms('first_event', after_ms)
             await work.caller.begin(head)
         if content:
             await work.caller.write(content)
@@ -533,7 +580,7 @@
             else team_priority,
             on_time_until_ms=arrived_ms + on_time_ms,
             wait_until_ms=min(arrived_ms + wait_ms, work.deadline_ms),
-            excluded=frozenset(work.excluded),
+            excluded=work.excluded,
             cold_rps=self._cold_rps(work.service),
             share_min=1 if is_stream else _PLAIN_SHARE_MIN,
         )
@@ -631,7 +678,12 @@
             reason=outcome.reason.value,
             why=outcome.explanation,
             sent=work.sent,
+            waited_ms=round(work.waited_ms),
+            first_event_ms=None
+            if work.first_event_ms is None
+            else round(work.first_event_ms),
             took_ms=round(took_ms),
+            patience_ms=round(work.request.patience_ms),
             configuration_version=self._holder.version,
             configuration_age_ms=round(self._holder.age_ms()),
         )
--- a/src/carobslip/forwarding/_loads.py
+++ b/src/carobslip/forwarding/_loads.py
@@ -177,6 +177,17 @@
         avoid_ms = min(_AVOID_MAX_MS, _AVOID_MS * 2**doublings)
         return self.avoid(target, avoid_ms)
 
+    def forgive(self, target: identifiers.TargetId) -> None:
+        """Forgets failures, after news that their cause has gone."""
+        known = self._get(target)
+        known.failures = 0
+        known.avoid_until_ms = 0.0
+
+    def avoided_until_ms(self, target: identifiers.TargetId) -> float:
+        """Returns until when a target gets no new work; 0 if it may."""
+        known = self._known.get(target)
+        return 0.0 if known is None else known.avoid_until_ms
+
     def avoid(self, target: identifiers.TargetId, avoid_ms: float) -> float:
         """Gives a target no new work for a while."""
         known = self._get(target)
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -347,6 +347,9 @@
         self.forwarder.stalls.note(members, is_stalled=not news.is_open)
         if self._groups.get(news.group) is not news.is_open:
             self._groups[news.group] = news.is_open
+            for target in members if news.is_open else ():
+                # What failed because the group did works again.
+                self.loads.forgive(target)
             self.log.write(
                 observability.Event.GROUP_CHANGED,
                 group=news.group,
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -367,6 +367,7 @@
         return expertmap.LeadSettings(
             sets=engine.expert_sets,
             experts=engine.experts_per_set,
+            slots=engine.slots,
             bounds=expertmap.BalanceBounds(
                 places_per_rank=engine.places_per_rank,
             ),
--- a/src/carobslip/targets/_book.py
+++ b/src/carobslip/targets/_book.py
@@ -39,6 +39,7 @@
             identifiers.TargetId,
             _records.TargetRecord,
         ] = {}
+        self._replaced: set[identifiers.TargetId] = set()
         self._lapsed_until_ms: dict[identifiers.TargetId, float] = {}
         self._failed_ms = -_OUTAGE_MEMORY_MS
         self._is_lost = False
@@ -66,19 +67,44 @@
     ) -> list[_records.TargetRecord]:
         """Returns the targets of a service that may get new work.
 
+        One address holds one target: of several that are listed there, the
+        entries of earlier starts have not lapsed yet.
+
         Args:
             service: What they must serve.
             withdrawn: Data centres that operators have taken out.
         """
         self._drop_lapsed()
-        return [
+        latest_ms: dict[str, float] = {}
+        present = [
             record
             for record in self._records.values()
+            if record.target not in self._replaced
+        ]
+        for record in present:
+            started_ms = record.started_wall_ms
+            known_ms = latest_ms.get(record.address, started_ms)
+            latest_ms[record.address] = max(known_ms, started_ms)
+        return [
+            record
+            for record in present
             if record.service == service
             and record.state is _records.TargetState.READY
             and record.data_centre not in withdrawn
+            and record.started_wall_ms >= latest_ms[record.address]
         ]
 
+    def note_replaced(self, target: identifiers.TargetId) -> None:
+        """Takes the word of a target's address that another one is there."""
+        if target in self._records and target not in self._replaced:
+            self._replaced.add(target)
+            self._log.write(
+                observability.Event.TARGET_OUT,
+                target=target,
+                why='another target answers at its address',
+                revision=self.revision,
+            )
+
     def apply(self, update: _records.TargetUpdate) -> None:
         """Takes an update of the list into account."""
         if isinstance(update, _records.TargetListLost):
@@ -142,6 +168,8 @@
             )
             return
         self._lapsed_until_ms.pop(record.target, None)
+        if known is not None and _is_elsewhere(known, record):
+            self._replaced.discard(record.target)
         self._records[record.target] = record
         if known is None or known.state is not record.state:
             self._log.write(
@@ -176,9 +204,21 @@
 
     def _forget(self, target: identifiers.TargetId, revision: int) -> None:
         self._lapsed_until_ms.pop(target, None)
+        self._replaced.discard(target)
         if self._records.pop(target, None) is not None:
             self._log.write(
                 observability.Event.TARGET_UNLISTED,
                 target=target,
                 revision=revision,
             )
+
+
+def _is_elsewhere(
+    known: _records.TargetRecord,
+    record: _records.TargetRecord,
+) -> bool:
+    """Tells whether a target has another address or start than before."""
+    return (known.address, known.started_wall_ms) != (
+        record.address,
+        record.started_wall_ms,
+    )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -257,3 +257,46 @@
         assert load.loads.own_of('t0') == 0
 
     play(story)
+
+
+def test_requests_wait_for_targets_that_may_soon_be_tried_again():
+    async def story():
+        load = Load(targets=1, slots=3)
+        load.loads.avoid('t0', 300)
+        await asyncio.gather(*(load.send() for _number in range(8)))
+        assert len(load.started) == 3
+        assert len(load.refused) == 5
+        assert all(waited_ms < 1 for _at, waited_ms, _why in load.refused)
+
+    play(story)
+
+
+def test_few_wait_for_a_service_without_targets():
+    async def story():
+        load = Load(targets=1, slots=3)
+        gone, load.records[:] = list(load.records), []
+        sends = [asyncio.ensure_future(load.send()) for _number in range(20)]
+        await asyncio.sleep(0.8)
+        assert len(load.refused) == 12
+        returns_ms = [one[2].retry_after_ms for one in load.refused]
+        assert min(returns_ms) >= 1000
+        load.records.extend(gone)
+        load.admission.wake_all()
+        await asyncio.gather(*sends)
+        assert len(load.started) >= 3
+
+    play(story)
+
+
+def test_forgiven_targets_are_used_at_once():
+    async def story():
+        load = Load(targets=1, slots=3)
+        load.loads.avoid('t0', 800)
+        sending = asyncio.ensure_future(load.send())
+        await asyncio.sleep(0.1)
+        load.loads.forgive('t0')
+        load.admission.wake_all()
+        await sending
+        assert [round(one[1]) for one in load.started] == [100]
+
+    play(story)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -120,3 +120,31 @@
         assert usable(book) == {'a'}
 
     play(story)
+
+
+def test_an_address_holds_the_target_that_started_last():
+    async def story():
+        book = new_book()
+        listed(book, 'a', 'b')
+        book.apply(change('c', 2, address='a:1', started_wall_ms=9))
+        assert usable(book) == {'b', 'c'}
+        book.apply(change('c', 3))
+        assert usable(book) == {'a', 'b'}
+
+    play(story)
+
+
+def test_a_target_that_another_one_replaced_is_out_until_it_moves():
+    async def story():
+        book = new_book()
+        listed(book, 'a', 'b')
+        # The clock of the machine was set back before the later start.
+        book.apply(change('c', 2, address='a:1', started_wall_ms=-9))
+        book.note_replaced('a')
+        assert usable(book) == {'b', 'c'}
+        book.apply(change('a', 3, sequence=7))
+        assert usable(book) == {'b', 'c'}
+        book.apply(change('a', 4, address='d:1', started_wall_ms=20))
+        assert usable(book) == {'a', 'b', 'c'}
+
+    play(story)
