Forwarding: one module a concept

_forwarder.py (710 lines) is split: the state of one request, one attempt at one target, the relay of answers, and what forwarding works with, each have a module of their own. No change in behaviour; all tests pass.

--- a/src/carobslip/forwarding/__init__.py
+++ b/src/carobslip/forwarding/__init__.py
@@ -2,12 +2,7 @@
 
 from carobslip.forwarding._admission import Admission, Demand, Refusal
 from carobslip.forwarding._events import EventSplitter, StreamEvent
-from carobslip.forwarding._forwarder import (
-    FleetView,
-    Forwarder,
-    ForwardingRules,
-    Tools,
-)
+from carobslip.forwarding._forwarder import Forwarder
 from carobslip.forwarding._loads import LoadBook
 from carobslip.forwarding._ports import (
     Caller,
@@ -19,6 +14,7 @@
 from carobslip.forwarding._repeat_budget import RepeatBounds, RepeatBudget
 from carobslip.forwarding._request import AnswerHead, ForwardRequest, Headers
 from carobslip.forwarding._table import ForwardingIndex, choose_service
+from carobslip.forwarding._tools import FleetView, ForwardingRules, Tools
 
 __all__ = [
     'Admission',
--- /dev/null
+++ b/src/carobslip/forwarding/_relay.py
@@ -0,0 +1,82 @@
+"""Passes the answer of a target on to the caller."""
+
+from typing import Final
+
+from carobslip import guard
+from carobslip.forwarding import _events, _ports, _request, _tools, _work
+
+#: Longest answer that is held back until it is whole.
+_ANSWER_MAX_BYTES: Final = 8_388_608
+
+
+async def read_whole(answer: _ports.TargetAnswer) -> bytes:
+    """Returns a whole body.
+
+    Raises:
+        guard.TargetLost: It broke off, or is too long to be held back.
+    """
+    parts = []
+    size_bytes = 0
+    async for content in answer.chunks():
+        parts.append(content)
+        size_bytes += len(content)
+        if size_bytes > _ANSWER_MAX_BYTES:
+            raise guard.TargetLost('the answer is too long')
+    return b''.join(parts)
+
+
+async def relay_stream(
+    work: _work.Work,
+    answer: _ports.TargetAnswer,
+    tools: _tools.Tools,
+) -> None:
+    """Passes a stream on event by event.
+
+    Raises:
+        guard.TargetLost: The stream broke; whole events were passed on.
+    """
+    splitter = _events.EventSplitter()
+    async for content in answer.chunks():
+        fresh = [
+            event.raw
+            for event in splitter.feed(content)
+            if _is_next(work, event)
+        ]
+        if fresh:
+            await _write(work, answer.head, b''.join(fresh), tools)
+    if splitter.rest or not work.begun:
+        await _write(work, answer.head, splitter.rest, tools)
+    await work.caller.end()
+
+
+def _is_next(work: _work.Work, event: _events.StreamEvent) -> bool:
+    """Tells whether an event is new; notes its number.
+
+    Raises:
+        guard.TargetLost: An event is missing before it.
+    """
+    if event.number is None:
+        return True
+    last = work.last_event
+    if last is not None and event.number <= last:
+        return False
+    if last is not None and event.number > last + 1:
+        raise guard.TargetLost(f'event {event.number} follows {last}')
+    work.last_event = event.number
+    return True
+
+
+async def _write(
+    work: _work.Work,
+    head: _request.AnswerHead,
+    content: bytes,
+    tools: _tools.Tools,
+) -> None:
+    if not work.begun:
+        work.begun = True
+        after_ms = tools.clock.now_ms() - work.request.arrived_ms
+        work.first_event_ms = after_ms
+        tools.metrics.time_ms('first_event', after_ms)
+        await work.caller.begin(head)
+    if content:
+        await work.caller.write(content)
--- /dev/null
+++ b/src/carobslip/forwarding/_tools.py
@@ -0,0 +1,44 @@
+"""Bounds, beliefs and records that forwarding works with."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from carobslip import clocks, observability
+
+
+class ForwardingRules(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds that operators set for all entries.
+
+    Attributes:
+        key_age_max_ms: A request with a key is served only while the
+            configuration was known to be the newest one within this time.
+        cold_factor: Times ``cold_rps`` that a cold target may get.
+        cold_extra_rps: Requests a second on top of that.
+    """
+
+    key_age_max_ms: float = 5000
+    cold_factor: float = 1
+    cold_extra_rps: float = 0
+
+
+class FleetView(msgspec.Struct, frozen=True, kw_only=True):
+    """What a forwarder asks about the fleet.
+
+    Attributes:
+        entries: Returns how many entries are alive.
+        is_current: False while this process has just woken from a pause.
+    """
+
+    entries: Callable[[], int]
+    is_current: Callable[[], bool]
+
+
+class Tools(msgspec.Struct, frozen=True, kw_only=True):
+    """Clock, chance and records of a process."""
+
+    clock: clocks.Clock
+    generator: random.Random
+    log: observability.EventLog
+    metrics: observability.Metrics
