--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -25,21 +25,17 @@
     observability,
 )
 from carobslip.adapters import control_nng
+from carobslip.processes import _group_peers
 
 #: Period of the guard's work. Large groups take longer ones, since their
 #: coordinator hears of every rank over a narrow link.
 _PERIOD_S: Final = 0.1
 _PERIOD_RANKS: Final = 12
-#: A peer that gave no answer for this long is passed over.
-_PASS_OVER_MS: Final = 2000.0
 _SILENCES_MAX: Final = 2
 #: An engine that was silent so often has gone, and another one may have its
 #: rank by now.
 _SILENCES_GONE: Final = 12
 _PUSH_TIMEOUT_MS: Final = 100.0
-_ORDER_TIMEOUT_MS: Final = 250.0
-#: A copy that takes longer than this many times its own time has failed.
-_COPY_TIMES: Final = 4
 #: Entries hear of the group's load every so many periods.
 _LOAD_PERIODS: Final = 2
 #: Guards probe less often than entries: callers do not depend on them.
@@ -114,7 +110,6 @@
         self._counts: expertmap.ExpertCounts | None = None
         self._lead: expertmap.GroupLead | None = None
         self._silences: dict[identifiers.InstanceId, int] = {}
-        self._passed_over_ms: dict[identifiers.InstanceId, float] = {}
         self._coordinator = ''
         self._report: expertmap.RankReport | None = None
         self._engine_silences = 0
@@ -150,6 +145,14 @@
             ),
             probing=PROBING,
         )
+        self._peers = _group_peers.GroupPeers(
+            instance=own.instance,
+            member=self._member,
+            engine_at=self._engine_at,
+            rank_guard=self.rank_guard,
+            clock=self._clock,
+            log=self.log,
+        )
         self._member.node.on(control.RankNewsPush, self._on_news)
         self._member.node.on(control.OrderRank, self._on_order)
         self.run_task(self._run())
@@ -262,30 +265,14 @@
         self._sequence += 1
         return self._sequence
 
-    def _peers(
-        self,
-        group: identifiers.GroupId,
-    ) -> dict[int, directory.InstanceRecord]:
-        """Returns the usable guards of a group by rank, without the own."""
-        return {
-            record.rank: record
-            for record in self._member.fleet.instances()
-            if record.group == group
-            and record.rank is not None
-            and record.instance != self._own.instance
-            and self._member.table.is_usable(record.instance)
-        }
-
     def _choose_coordinator(
         self,
         report: expertmap.RankReport,
     ) -> directory.InstanceRecord | None:
         """Returns the lowest rank's guard that answers; None for this one."""
-        now_ms = self._clock.now_ms()
         chosen: directory.InstanceRecord | None = None
-        for rank, record in sorted(self._peers(report.group).items()):
-            passed_over = self._passed_over_ms.get(record.instance, 0)
-            if rank < report.rank and now_ms >= passed_over:
+        for rank, record in sorted(self._peers.usable(report.group).items()):
+            if rank < report.rank and not self._peers.is_passed_over(record):
                 chosen = record
                 break
         name = self._own.instance if chosen is None else chosen.instance
@@ -318,23 +305,10 @@
             silences = self._silences.get(name, 0) + 1
             self._silences[name] = silences
             if silences >= _SILENCES_MAX:
-                self._pass_over(coordinator, str(fault))
+                self._peers.pass_over(coordinator, str(fault))
             return
         self._silences[name] = 0
 
-    def _pass_over(
-        self,
-        coordinator: directory.InstanceRecord,
-        fault: str,
-    ) -> None:
-        until_ms = self._clock.now_ms() + _PASS_OVER_MS
-        self._passed_over_ms[coordinator.instance] = until_ms
-        self.log.write(
-            observability.Event.PEER_SILENT,
-            address=coordinator.control_address,
-            fault=fault,
-        )
-
     async def _coordinate(
         self,
         report: expertmap.RankReport,
@@ -353,7 +327,11 @@
             lead = expertmap.GroupLead(
                 group=report.group,
                 own_rank=report.rank,
-                ranks=_RanksByControl(self, report.group, report.rank),
+                ranks=_group_peers.RanksByControl(
+                    peers=self._peers,
+                    group=report.group,
+                    own_rank=report.rank,
+                ),
                 clock=self._clock,
                 log=self.log,
             )
@@ -440,155 +418,8 @@
         group: identifiers.GroupId,
         order: expertmap.RankOrder,
     ) -> expertmap.RankAnswer:
-        peer = self._find_rank(group, order.lead_rank)
+        peer = self._peers.find_rank(group, order.lead_rank)
         if peer is None:
             return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
         engine = self._engine_at(peer.http_address)
         return await self.rank_guard.arm_lead(order, engine)
-
-    async def order_rank(
-        self,
-        group: identifiers.GroupId,
-        rank: int,
-        order: expertmap.RankOrder,
-        *,
-        directly: bool,
-    ) -> expertmap.RankAnswer:
-        """Gives an order to another rank, through its guard if it answers.
-
-        Args:
-            group: The group.
-            rank: Which rank.
-            order: What its engine is told.
-            directly: Past the rank's guard.
-        """
-        peer = self._find_rank(group, rank)
-        if peer is None:
-            return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
-        passed_over = self._passed_over_ms.get(peer.instance, 0)
-        if directly or self._clock.now_ms() < passed_over:
-            return await self._order_directly(peer, order)
-        timeout_ms = _ORDER_TIMEOUT_MS
-        if order.kind is expertmap.OrderKind.PREPARE:
-            timeout_ms += _COPY_TIMES * self.rank_guard.expert_copy_ms
-        try:
-            answer = await self._member.node.ask(
-                peer.control_address,
-                control.OrderRank(order=order),
-                answer=control.RankOrdered,
-                timeout_ms=timeout_ms,
-            )
-        except control.PeerUnreachable as fault:
-            self._pass_over(peer, str(fault))
-            return await self._order_directly(peer, order)
-        return answer.answer
-
-    async def arm_lead(
-        self,
-        group: identifiers.GroupId,
-        arming_rank: int,
-        order: expertmap.RankOrder,
-    ) -> expertmap.RankAnswer:
-        """Has the own engine ordered by the guard of another rank."""
-        peer = self._find_rank(group, arming_rank)
-        if peer is None:
-            return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
-        try:
-            answer = await self._member.node.ask(
-                peer.control_address,
-                control.OrderRank(
-                    order=order,
-                    group=group,
-                    rank=order.lead_rank,
-                ),
-                answer=control.RankOrdered,
-                timeout_ms=_ORDER_TIMEOUT_MS,
-            )
-        except control.PeerUnreachable as fault:
-            self._pass_over(peer, str(fault))
-            return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
-        return answer.answer
-
-    def address_of(
-        self,
-        group: identifiers.GroupId,
-        rank: int,
-    ) -> str | None:
-        """Returns where the engine of a rank takes calls, if known."""
-        peer = self._find_rank(group, rank)
-        return None if peer is None else peer.http_address
-
-    def _find_rank(
-        self,
-        group: identifiers.GroupId,
-        rank: int,
-    ) -> directory.InstanceRecord | None:
-        """Returns a rank's guard, even one that is believed dead."""
-        usable = self._peers(group).get(rank)
-        if usable is not None:
-            return usable
-        for record in self._member.fleet.instances():
-            if (record.group, record.rank) == (group, rank):
-                return record
-        return None
-
-    async def _order_directly(
-        self,
-        peer: directory.InstanceRecord,
-        order: expertmap.RankOrder,
-    ) -> expertmap.RankAnswer:
-        # A hold must end even while a guard is away, and engines take orders
-        # from anyone.
-        engine = self._engine_at(peer.http_address)
-        answer = await expertmap.give_order(
-            engine,
-            order,
-            expert_copy_ms=self.rank_guard.expert_copy_ms,
-            is_remote=True,
-        )
-        if answer.end is expertmap.OrderEnd.LOST:
-            self.log.write(
-                observability.Event.ENGINE_SILENT,
-                address=peer.http_address,
-                order=order.kind.value,
-                is_direct=True,
-            )
-        return answer
-
-
-class _RanksByControl:
-    """Reaches the ranks of a group through their guards."""
-
-    def __init__(
-        self,
-        guard: GroupGuard,
-        group: identifiers.GroupId,
-        own_rank: int,
-    ) -> None:
-        self._guard = guard
-        self._group = group
-        self._own_rank = own_rank
-
-    async def order(
-        self,
-        rank: int,
-        order: expertmap.RankOrder,
-        *,
-        through: int | None = None,
-    ) -> expertmap.RankAnswer:
-        """Gives an order to a rank, through the guard of one."""
-        guard = self._guard
-        if rank == self._own_rank:
-            if through is None or through == rank:
-                return await guard.rank_guard.order(order)
-            return await guard.arm_lead(self._group, through, order)
-        return await guard.order_rank(
-            self._group,
-            rank,
-            order,
-            directly=through == self._own_rank,
-        )
-
-    def address_of(self, rank: int) -> str | None:
-        """Returns where the engine of a rank takes calls, if known."""
-        return self._guard.address_of(self._group, rank)
--- /dev/null
+++ b/src/carobslip/processes/_group_peers.py
@@ -0,0 +1,244 @@
+"""The other guards of a lock-step group, and orders to their engines."""
+
+from collections.abc import Callable
+from typing import Final
+
+from carobslip import (
+    clocks,
+    control,
+    directory,
+    expertmap,
+    fleet,
+    identifiers,
+    observability,
+)
+
+#: A peer that gave no answer for this long is passed over.
+_PASS_OVER_MS: Final = 2000.0
+_ORDER_TIMEOUT_MS: Final = 250.0
+#: A copy that takes longer than this many times its own time has failed.
+_COPY_TIMES: Final = 4
+
+
+class GroupPeers:
+    """Finds the guards of a group and has them order their engines.
+
+    Args:
+        instance: Name of this process.
+        member: This process's part in the fleet.
+        engine_at: Returns the control of the engine at an address.
+        rank_guard: Orders the engine beside this process.
+        clock: Monotonic time.
+        log: Takes silences.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: identifiers.InstanceId,
+        member: fleet.FleetMember,
+        engine_at: Callable[[str], expertmap.EngineControl],
+        rank_guard: expertmap.RankGuard,
+        clock: clocks.Clock,
+        log: observability.EventLog,
+    ) -> None:
+        self._instance = instance
+        self._member = member
+        self._engine_at = engine_at
+        self._rank_guard = rank_guard
+        self._clock = clock
+        self._log = log
+        self._passed_over_ms: dict[identifiers.InstanceId, float] = {}
+
+    def usable(
+        self,
+        group: identifiers.GroupId,
+    ) -> dict[int, directory.InstanceRecord]:
+        """Returns the usable guards of a group by rank, without the own."""
+        return {
+            record.rank: record
+            for record in self._member.fleet.instances()
+            if record.group == group
+            and record.rank is not None
+            and record.instance != self._instance
+            and self._member.table.is_usable(record.instance)
+        }
+
+    def is_passed_over(self, peer: directory.InstanceRecord) -> bool:
+        """Tells whether a guard was silent a moment ago."""
+        until_ms = self._passed_over_ms.get(peer.instance, 0)
+        return self._clock.now_ms() < until_ms
+
+    def pass_over(
+        self,
+        peer: directory.InstanceRecord,
+        fault: str,
+    ) -> None:
+        """Does without a guard that gave no answer, for a while."""
+        until_ms = self._clock.now_ms() + _PASS_OVER_MS
+        self._passed_over_ms[peer.instance] = until_ms
+        self._log.write(
+            observability.Event.PEER_SILENT,
+            address=peer.control_address,
+            fault=fault,
+        )
+
+    async def order_own(
+        self,
+        order: expertmap.RankOrder,
+    ) -> expertmap.RankAnswer:
+        """Gives an order to the engine beside this process."""
+        return await self._rank_guard.order(order)
+
+    async def order_rank(
+        self,
+        group: identifiers.GroupId,
+        rank: int,
+        order: expertmap.RankOrder,
+        *,
+        directly: bool,
+    ) -> expertmap.RankAnswer:
+        """Gives an order to another rank, through its guard if it answers.
+
+        Args:
+            group: The group.
+            rank: Which rank.
+            order: What its engine is told.
+            directly: Past the rank's guard.
+        """
+        peer = self.find_rank(group, rank)
+        if peer is None:
+            return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
+        if directly or self.is_passed_over(peer):
+            return await self._order_directly(peer, order)
+        timeout_ms = _ORDER_TIMEOUT_MS
+        if order.kind is expertmap.OrderKind.PREPARE:
+            timeout_ms += _COPY_TIMES * self._rank_guard.expert_copy_ms
+        try:
+            answer = await self._member.node.ask(
+                peer.control_address,
+                control.OrderRank(order=order),
+                answer=control.RankOrdered,
+                timeout_ms=timeout_ms,
+            )
+        except control.PeerUnreachable as fault:
+            self.pass_over(peer, str(fault))
+            return await self._order_directly(peer, order)
+        return answer.answer
+
+    async def arm_lead(
+        self,
+        group: identifiers.GroupId,
+        arming_rank: int,
+        order: expertmap.RankOrder,
+    ) -> expertmap.RankAnswer:
+        """Has the own engine ordered by the guard of another rank."""
+        peer = self.find_rank(group, arming_rank)
+        if peer is None:
+            return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
+        try:
+            answer = await self._member.node.ask(
+                peer.control_address,
+                control.OrderRank(
+                    order=order,
+                    group=group,
+                    rank=order.lead_rank,
+                ),
+                answer=control.RankOrdered,
+                timeout_ms=_ORDER_TIMEOUT_MS,
+            )
+        except control.PeerUnreachable as fault:
+            self.pass_over(peer, str(fault))
+            return expertmap.RankAnswer(end=expertmap.OrderEnd.LOST)
+        return answer.answer
+
+    def address_of(
+        self,
+        group: identifiers.GroupId,
+        rank: int,
+    ) -> str | None:
+        """Returns where the engine of a rank takes calls, if known."""
+        peer = self.find_rank(group, rank)
+        return None if peer is None else peer.http_address
+
+    def find_rank(
+        self,
+        group: identifiers.GroupId,
+        rank: int,
+    ) -> directory.InstanceRecord | None:
+        """Returns a rank's guard, even one that is believed dead."""
+        usable = self.usable(group).get(rank)
+        if usable is not None:
+            return usable
+        for record in self._member.fleet.instances():
+            if (record.group, record.rank) == (group, rank):
+                return record
+        return None
+
+    async def _order_directly(
+        self,
+        peer: directory.InstanceRecord,
+        order: expertmap.RankOrder,
+    ) -> expertmap.RankAnswer:
+        # A hold must end even while a guard is away, and engines take orders
+        # from anyone.
+        engine = self._engine_at(peer.http_address)
+        answer = await expertmap.give_order(
+            engine,
+            order,
+            expert_copy_ms=self._rank_guard.expert_copy_ms,
+            is_remote=True,
+        )
+        if answer.end is expertmap.OrderEnd.LOST:
+            self._log.write(
+                observability.Event.ENGINE_SILENT,
+                address=peer.http_address,
+                order=order.kind.value,
+                is_direct=True,
+            )
+        return answer
+
+
+class RanksByControl:
+    """Reaches the ranks of a group through their guards.
+
+    Args:
+        peers: The guards.
+        group: The group.
+        own_rank: Rank of the engine beside this process.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: GroupPeers,
+        group: identifiers.GroupId,
+        own_rank: int,
+    ) -> None:
+        self._peers = peers
+        self._group = group
+        self._own_rank = own_rank
+
+    async def order(
+        self,
+        rank: int,
+        order: expertmap.RankOrder,
+        *,
+        through: int | None = None,
+    ) -> expertmap.RankAnswer:
+        """Gives an order to a rank, through the guard of one."""
+        peers = self._peers
+        if rank == self._own_rank:
+            if through is None or through == rank:
+                return await peers.order_own(order)
+            return await peers.arm_lead(self._group, through, order)
+        return await peers.order_rank(
+            self._group,
+            rank,
+            order,
+            directly=through == self._own_rank,
+        )
+
+    def address_of(self, rank: int) -> str | None:
+        """Returns where the engine of a rank takes calls, if known."""
+        return self._peers.address_of(self._group, rank)
