--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -157,7 +157,7 @@
             await self._wait_for_configuration(request)
         work = self._prepare(request, caller)
         if isinstance(work, verdicts.Outcome):
-            self._note_refused(request, work)
+            self.note_refused(request.request_id, request.path, work)
             return work
         self.in_progress += 1
         self._budget.note_request(work.service)
@@ -182,6 +182,23 @@
         self._note_end(work, outcome)
         return outcome
 
+    def note_refused(
+        self,
+        request_id: identifiers.RequestId,
+        path: str,
+        outcome: verdicts.Outcome,
+    ) -> None:
+        """Records that a request was refused before it had a route."""
+        self._metrics.count(f'refused.{outcome.reason.value}')
+        self._log.write(
+            observability.Event.REQUEST_REFUSED,
+            request=request_id,
+            reason=outcome.reason.value,
+            path=path,
+            configuration_version=self._holder.version,
+            configuration_age_ms=round(self._holder.age_ms()),
+        )
+
     async def _wait_for_configuration(
         self,
         request: _request.ForwardRequest,
@@ -340,21 +357,6 @@
             return verdicts.may_have_run(_Reason.REPLY_TIMEOUT)
         return verdicts.not_run(_Reason.QUEUE_TIMEOUT)
 
-    def _note_refused(
-        self,
-        request: _request.ForwardRequest,
-        outcome: verdicts.Outcome,
-    ) -> None:
-        self._metrics.count(f'refused.{outcome.reason.value}')
-        self._log.write(
-            observability.Event.REQUEST_REFUSED,
-            request=request.request_id,
-            reason=outcome.reason.value,
-            path=request.path,
-            configuration_version=self._holder.version,
-            configuration_age_ms=round(self._holder.age_ms()),
-        )
-
     def _note_end(self, work: _work.Work, outcome: verdicts.Outcome) -> None:
         took_ms = self._clock.now_ms() - work.request.arrived_ms
         self._metrics.count(f'ended.{outcome.verdict.value}')
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -25,6 +25,10 @@
 
     def __init__(self):
         self.bodies = []
+        self.refused = []
+
+    def note_refused(self, request_id, path, outcome):
+        self.refused.append((request_id, outcome.reason))
 
     async def forward(self, request, caller):
         self.bodies.append(request.body)
@@ -121,6 +125,8 @@
     received = await front.read_all()
     assert received.startswith(start)
     assert bool(received) is bool(start)
+    noted = [request_id for request_id, _reason in front.forwarder.refused]
+    assert noted == (['r'] if start else [])
     assert front.forwarder.bodies == []
 
 
