--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,11 +3,11 @@
 import asyncio
 import random
 
-import looptime
 import pytest
 
 from carobslip import clocks, forwarding, identifiers
 from tests.fakes import forwarding as fakes
+from tests.fakes import virtual
 
 SERVICE = fakes.SERVICE
 
@@ -74,14 +74,6 @@
         await asyncio.gather(*sends)
 
 
-def play(story):
-    loop = looptime.new_event_loop()
-    try:
-        return loop.run_until_complete(story())
-    finally:
-        loop.close()
-
-
 # Capacity is 4 targets x 3 slots / 0.5 s = 24 requests a second.
 LOADS = {'half': 12, 'full': 22, 'twice': 48, 'five times': 120}
 
@@ -99,7 +91,7 @@
         served_rps = len(load.started) / 20
         assert served_rps >= 0.9 * min(LOADS[name], 24)
 
-    play(story)
+    virtual.play(story)
 
 
 @pytest.mark.parametrize('rate_rps', [36, 72, 120])
@@ -120,7 +112,7 @@
         returns = {round(one[2].retry_after_ms, -2) for one in load.refused}
         assert len(returns) > 5
 
-    play(story)
+    virtual.play(story)
 
 
 def test_refused_callers_that_return_do_not_return_together():
@@ -132,7 +124,7 @@
         assert returns_ms[-1] - returns_ms[0] > 600
         assert returns_ms[0] >= 400
 
-    play(story)
+    virtual.play(story)
 
 
 def test_urgent_requests_go_first():
@@ -151,7 +143,7 @@
         )
         assert order == ['running', 'urgent', 'usual']
 
-    play(story)
+    virtual.play(story)
 
 
 def test_reports_of_others_are_counted():
@@ -169,7 +161,7 @@
             None,
         ]
 
-    play(story)
+    virtual.play(story)
 
 
 def test_what_a_target_said_in_an_answer_is_soon_forgotten():
@@ -182,7 +174,7 @@
         place = await load.admission.admit(load.demand(wait_ms=0))
         assert place.target == 't0'
 
-    play(story)
+    virtual.play(story)
 
 
 def test_without_reports_each_entry_takes_its_share():
@@ -197,7 +189,7 @@
         ]
         assert len(taken) == 2
 
-    play(story)
+    virtual.play(story)
 
 
 @pytest.mark.parametrize('entries', [1, 3, 7])
@@ -225,7 +217,7 @@
             window = [one for one in moments if 0 <= one - moment < 1000]
             assert len(window) <= bound_rps
 
-    play(story)
+    virtual.play(story)
 
 
 def test_target_that_fails_is_left_alone_for_a_while():
@@ -239,7 +231,7 @@
         place = await load.admission.admit(load.demand(wait_ms=0))
         assert place.target == 't0'
 
-    play(story)
+    virtual.play(story)
 
 
 def test_caller_that_leaves_the_queue_frees_its_turn():
@@ -256,7 +248,7 @@
         assert load.admission.waiting(SERVICE) == 0
         assert load.loads.own_of('t0') == 0
 
-    play(story)
+    virtual.play(story)
 
 
 def test_requests_wait_for_targets_that_may_soon_be_tried_again():
@@ -268,7 +260,7 @@
         assert len(load.refused) == 5
         assert all(waited_ms < 1 for _at, waited_ms, _why in load.refused)
 
-    play(story)
+    virtual.play(story)
 
 
 def test_few_wait_for_a_service_without_targets():
@@ -285,7 +277,7 @@
         await asyncio.gather(*sends)
         assert len(load.started) >= 3
 
-    play(story)
+    virtual.play(story)
 
 
 def test_forgiven_targets_are_used_at_once():
@@ -299,4 +291,4 @@
         await sending
         assert [round(one[1]) for one in load.started] == [100]
 
-    play(story)
+    virtual.play(story)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-import looptime
 import pytest
 
 from carobslip import configuration, identifiers, targets, verdicts
 from tests.fakes import forwarding as fakes
+from tests.fakes import virtual
 
 RAN = verdicts.Verdict.RAN
 NOT_RUN = verdicts.Verdict.NOT_RUN
@@ -14,14 +14,6 @@
 Reason = verdicts.Reason
 
 
-def play(story):
-    loop = looptime.new_event_loop()
-    try:
-        return loop.run_until_complete(story())
-    finally:
-        loop.close()
-
-
 def refusal():
     return fakes.FakeAnswer(status=503, has_not_run=True)
 
@@ -146,7 +138,7 @@
         if verdict is NOT_RUN:
             assert outcome.retry_after_ms
 
-    play(story)
+    virtual.play(story)
 
 
 # name: (path, key, reason)
@@ -168,7 +160,7 @@
         assert (outcome.verdict, outcome.reason) == (NOT_RUN, reason)
         assert not entry.port.calls
 
-    play(story)
+    virtual.play(story)
 
 
 def test_public_route_needs_no_key_and_names_no_team():
@@ -178,7 +170,7 @@
         assert outcome.verdict is RAN
         assert entry.port.calls[0].team is None
 
-    play(story)
+    virtual.play(story)
 
 
 def test_team_of_the_key_is_told_to_the_target():
@@ -187,7 +179,7 @@
         await entry.send('/book/x')
         assert entry.port.calls[0].team == fakes.TEAM
 
-    play(story)
+    virtual.play(story)
 
 
 def test_key_is_served_only_while_the_configuration_is_surely_new():
@@ -207,7 +199,7 @@
         outcome, _caller = await entry.send('/book/x')
         assert outcome.verdict is RAN
 
-    play(story)
+    virtual.play(story)
 
 
 def test_request_waits_for_the_configuration_of_a_starting_entry():
@@ -217,7 +209,7 @@
         outcome, _caller = await entry.send('/book/x')
         assert outcome.verdict is RAN
 
-    play(story)
+    virtual.play(story)
 
 
 def test_starting_entry_refuses_rather_than_deny():
@@ -227,7 +219,7 @@
         assert outcome.reason is Reason.NO_CONFIGURATION
         assert outcome.retry_after_ms
 
-    play(story)
+    virtual.play(story)
 
 
 def test_woken_entry_refuses_until_it_has_refreshed():
@@ -237,7 +229,7 @@
         outcome, _caller = await entry.send('/book/x')
         assert (outcome.verdict, outcome.reason) == (NOT_RUN, Reason.PAUSED)
 
-    play(story)
+    virtual.play(story)
 
 
 def test_stream_goes_on_at_another_target_within_one_answer():
@@ -256,7 +248,7 @@
         assert (first.last_event, second.last_event) == (None, '2')
         assert first.target != second.target
 
-    play(story)
+    virtual.play(story)
 
 
 def test_stream_with_a_gap_is_never_completed():
@@ -268,7 +260,7 @@
         assert not caller.is_whole
         assert b'id: 4' not in caller.body
 
-    play(story)
+    virtual.play(story)
 
 
 def test_events_that_come_twice_are_passed_on_once():
@@ -279,7 +271,7 @@
         assert caller.body.count(b'id: 2') == 1
         assert caller.is_whole
 
-    play(story)
+    virtual.play(story)
 
 
 def test_error_of_the_second_target_does_not_follow_the_first_answer():
@@ -290,7 +282,7 @@
         assert outcome.verdict is MAY_HAVE_RUN
         assert not caller.is_whole
 
-    play(story)
+    virtual.play(story)
 
 
 def test_caller_that_leaves_cancels_the_call():
@@ -303,7 +295,7 @@
         assert len(entry.port.cancelled) == 1
         assert entry.loads.own_of(entry.port.calls[0].target) == 0
 
-    play(story)
+    virtual.play(story)
 
 
 def test_time_left_is_never_more_than_the_caller_or_the_route_gives():
@@ -316,7 +308,7 @@
         assert second < first
         assert third <= 8000
 
-    play(story)
+    virtual.play(story)
 
 
 def test_hanging_target_ends_with_the_time_limit_as_doubt():
@@ -327,7 +319,7 @@
         assert outcome.reason is Reason.REPLY_TIMEOUT
         assert entry.clock.now_ms() <= 601
 
-    play(story)
+    virtual.play(story)
 
 
 def test_repeats_stay_within_the_share_of_this_entry():
@@ -341,7 +333,7 @@
         # A quarter of 20 extra, and a fifth of the requests, less the margin.
         assert 0 < repeats <= 0.7 * (40 * 0.2 + 20 / 4)
 
-    play(story)
+    virtual.play(story)
 
 
 def test_withdrawn_data_centre_and_leaving_targets_get_nothing():
@@ -375,7 +367,7 @@
             await entry.send('/book/x')
         assert {call.target for call in entry.port.calls} == {'c'}
 
-    play(story)
+    virtual.play(story)
 
 
 def test_stream_leaves_a_group_that_stands_still():
@@ -394,7 +386,7 @@
         assert caller.is_whole
         assert [call.last_event for call in entry.port.calls] == [None, '2']
 
-    play(story)
+    virtual.play(story)
 
 
 def test_booking_stays_at_a_group_that_stands_still():
@@ -408,7 +400,7 @@
         assert outcome.verdict is MAY_HAVE_RUN
         assert len(entry.port.calls) == 1
 
-    play(story)
+    virtual.play(story)
 
 
 def test_a_stalled_stream_keeps_its_place_until_it_has_another():
@@ -431,4 +423,4 @@
         assert entry.loads.own_of(first) == 0
         assert entry.loads.own_of(other) == 0
 
-    play(story)
+    virtual.play(story)
--- a/tests/test_group_lead.py
+++ b/tests/test_group_lead.py
@@ -3,11 +3,10 @@
 import asyncio
 import random
 
-import looptime
 import pytest
 
 from carobslip import clocks, expertmap
-from tests.fakes import cluster, engine_group
+from tests.fakes import cluster, engine_group, virtual
 
 SIZE = 8
 PERIOD_S = 0.1
@@ -85,14 +84,6 @@
         return broken_s
 
 
-def play(story):
-    loop = looptime.new_event_loop()
-    try:
-        return loop.run_until_complete(story())
-    finally:
-        loop.close()
-
-
 # name: (silent guards, silent engines, a new lead, known broken within s)
 SILENCES = {
     'machine of a rank hangs': ({3}, {3}, False, 0.7),
@@ -120,7 +111,7 @@
         else:
             assert broken_s <= within_s
 
-    play(story)
+    virtual.play(story)
 
 
 def test_lost_news_and_answers_are_no_stall():
@@ -128,7 +119,7 @@
         scene = Scene(lost_share=0.2)
         assert await scene.run(60) is None
 
-    play(story)
+    virtual.play(story)
 
 
 def test_a_rank_that_a_new_lead_never_heard_of_is_named():
@@ -140,4 +131,4 @@
         named = {address for address, _running, _waiting in scene.lead.loads()}
         assert named == {f'engine-{rank}' for rank in range(SIZE)}
 
-    play(story)
+    virtual.play(story)
--- a/tests/test_group_switch.py
+++ b/tests/test_group_switch.py
@@ -4,11 +4,10 @@
 import contextlib
 import random
 
-import looptime
 import pytest
 
 from carobslip import clocks, expertmap
-from tests.fakes import engine_group
+from tests.fakes import engine_group, virtual
 
 SIZE = 4
 PRESENT = (tuple((rank,) for rank in range(SIZE)),)
@@ -85,14 +84,6 @@
             await self.passes
 
 
-def _play(story, *arguments):
-    loop = looptime.new_event_loop()
-    try:
-        loop.run_until_complete(story(*arguments))
-    finally:
-        loop.close()
-
-
 def test_quiet_switch_takes_all_ranks_and_stalls_nobody():
     async def story():
         scene = Scene(seed=1)
@@ -106,7 +97,7 @@
         await scene.check(1)
         await scene.close()
 
-    _play(story)
+    virtual.play(story)
 
 
 @pytest.mark.parametrize('seed', range(60))
@@ -129,7 +120,7 @@
         assert scene.is_settled()
         await scene.close()
 
-    _play(story)
+    virtual.play(story)
 
 
 @pytest.mark.parametrize('seed', range(120))
@@ -155,7 +146,7 @@
         assert scene.group.held_s < 3
         await scene.close()
 
-    _play(story)
+    virtual.play(story)
 
 
 @pytest.mark.parametrize('seed', range(120))
@@ -189,7 +180,7 @@
         assert in_doubt or not stuck, second.why
         await scene.close()
 
-    _play(story)
+    virtual.play(story)
 
 
 @pytest.mark.parametrize('seed', range(60))
@@ -213,4 +204,4 @@
         assert scene.is_settled()
         await scene.close()
 
-    _play(story)
+    virtual.play(story)
--- a/tests/test_shared_targets.py
+++ b/tests/test_shared_targets.py
@@ -8,11 +8,11 @@
 import collections
 import random
 
-import looptime
 import pytest
 
 from carobslip import clocks, forwarding, identifiers
 from tests.fakes import forwarding as fakes
+from tests.fakes import virtual
 
 SERVICE = fakes.SERVICE
 ENTRIES = 7
@@ -142,18 +142,12 @@
 @pytest.mark.parametrize('name', LOADS)
 def test_requests_start_on_time_although_reports_are_shared(name):
     load, shares, least = LOADS[name]
-    loop = looptime.new_event_loop()
-    scene = None
 
     async def story():
-        nonlocal scene
         scene = Scene()
         await scene.play(load * CAPACITY_RPS, shares)
+        return scene
 
-    try:
-        loop.run_until_complete(story())
-    finally:
-        loop.close()
+    scene = virtual.play(story)
     possible = sum(scene.ends.values()) * min(1, 1 / load)
-    print(name, dict(scene.ends), round(scene.ends['on time'] / possible, 3))
     assert scene.ends['on time'] >= least * possible
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -2,23 +2,15 @@
 
 import asyncio
 
-import looptime
 import pytest
 
 from carobslip import clocks, observability, targets
 from tests.fakes import forwarding as fakes
+from tests.fakes import virtual
 
 DRAINING = targets.TargetState.DRAINING
 
 
-def play(story):
-    loop = looptime.new_event_loop()
-    try:
-        return loop.run_until_complete(story())
-    finally:
-        loop.close()
-
-
 def new_book():
     return targets.TargetBook(
         clock=clocks.LoopClock(epoch_ms=0),
@@ -83,7 +75,7 @@
             book.apply(update)
         assert usable(book) == expected
 
-    play(story)
+    virtual.play(story)
 
 
 def test_entries_that_lapse_in_an_outage_are_used_until_they_had_time():
@@ -102,7 +94,7 @@
         await asyncio.sleep(0.4)
         assert usable(book) == {'b'}
 
-    play(story)
+    virtual.play(story)
 
 
 def test_list_of_a_peer_is_taken_only_without_an_own_one():
@@ -119,7 +111,7 @@
         book.adopt(peers)
         assert usable(book) == {'a'}
 
-    play(story)
+    virtual.play(story)
 
 
 def test_an_address_holds_the_target_that_started_last():
@@ -131,7 +123,7 @@
         book.apply(change('c', 3))
         assert usable(book) == {'a', 'b'}
 
-    play(story)
+    virtual.play(story)
 
 
 def test_a_target_that_another_one_replaced_is_out_until_it_moves():
@@ -147,4 +139,4 @@
         book.apply(change('a', 4, address='d:1', started_wall_ms=20))
         assert usable(book) == {'a', 'b', 'c'}
 
-    play(story)
+    virtual.play(story)
