Admission: a request that every target has lost is ended at once

Found on reading the change: an empty choice because of the request's own lost attempts was taken for a service without targets, and the request waited for up to 1.2 s before its final answer. Test seen failing first. The state of a request is built with keywords.

--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -196,9 +196,10 @@
 
     def _foresee(self, demand: Demand) -> Refusal | None:
         """Refuses a request that cannot start in time."""
+        candidates = self._candidates(demand.service)
         allowed = [
             record
-            for record in self._candidates(demand.service)
+            for record in candidates
             if record.target not in demand.excluded
         ]
         usable = [
@@ -206,6 +207,10 @@
             for record in allowed
             if not self._loads.is_avoided(record.target)
         ]
+        if not candidates and (
+            self.waiting(demand.service) < _BLIND_WAITERS_MAX
+        ):
+            return None
         if not usable and self._is_worth_waiting(demand, allowed):
             return None
         if not usable:
@@ -230,21 +235,18 @@
         demand: Demand,
         avoided: Sequence[targets.TargetRecord],
     ) -> bool:
-        """Tells whether targets may return in time for a request.
+        """Tells whether targets that have failed may be tried in time.
 
-        No more requests wait for that than this entry's share of the slots of
-        those that have just failed: they all start at once then.
+        No more requests wait for that than this entry's share of their slots:
+        they all start at once then.
         """
-        waiting = self.waiting(demand.service)
-        if not avoided:
-            return waiting < _BLIND_WAITERS_MAX
         slots = sum(
             record.slots
             for record in avoided
             if self._loads.avoided_until_ms(record.target)
             < demand.wait_until_ms
         )
-        return waiting < slots / max(1, self._entries())
+        return self.waiting(demand.service) < slots / max(1, self._entries())
 
     def _refuse(
         self,
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -234,7 +234,13 @@
             if team is None:
                 return verdicts.not_run(_Reason.UNKNOWN_KEY)
         service = _table.choose_service(route, self._random)
-        return _work.Work(request, caller, route, team, service)
+        return _work.Work(
+            request=request,
+            caller=caller,
+            route=route,
+            team=team,
+            service=service,
+        )
 
     async def _try_all(self, work: _work.Work) -> verdicts.Outcome:
         try:
--- a/src/carobslip/forwarding/_work.py
+++ b/src/carobslip/forwarding/_work.py
@@ -22,6 +22,7 @@
 
     def __init__(
         self,
+        *,
         request: _request.ForwardRequest,
         caller: _ports.Caller,
         route: configuration.Route,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -292,3 +292,15 @@
         assert [round(one[1]) for one in load.started] == [100]
 
     virtual.play(story)
+
+
+def test_nobody_waits_where_every_target_has_lost_the_request():
+    async def story():
+        load = Load(targets=2, slots=3)
+        excluded = frozenset(('t0', 't1'))
+        began_ms = load.clock.now_ms()
+        place = await load.admission.admit(load.demand(excluded=excluded))
+        assert isinstance(place, forwarding.Refusal)
+        assert load.clock.now_ms() == began_ms
+
+    virtual.play(story)
