Control traffic: counted by type, and each fetched configuration has a line

Cause: logs and metrics could not tell whether links are filled by configurations that travel between processes, by transfers that are repeated, by repeated requests, or by streams that leave groups taken for lost.

Change: control.Traffic counts messages, bytes, silences and answer times by type (metrics, and line 303 each five seconds); line 210 for each fetch of a configuration with peer, size, time and outcome; line 404 says whether the answer had begun, after which event, and how often the request arrived at an engine. Times of the probing moved into FleetTimes. No decision changes.

--- a/src/carobslip/control/_node.py
+++ b/src/carobslip/control/_node.py
@@ -4,8 +4,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, TypeVar
 
-from carobslip import configuration
-from carobslip.control import _codec, _messages, _port
+from carobslip import configuration, observability
+from carobslip.control import _codec, _messages, _port, _traffic
 
 _FETCH_TIMEOUT_MS: Final = 1000.0
 
@@ -23,6 +23,8 @@
         origin: This process.
         holder: The configuration that it holds.
         transport: How messages travel.
+        metrics: Counts them by type.
+        log: Takes a line for each configuration that was fetched or not.
     """
 
     def __init__(
@@ -31,10 +33,14 @@
         origin: _messages.Origin,
         holder: configuration.Holder,
         transport: _port.Transport,
+        metrics: observability.Metrics,
+        log: observability.EventLog,
     ) -> None:
         self.origin = origin
         self.holder = holder
         self._transport = transport
+        self.traffic = _traffic.Traffic(metrics=metrics)
+        self._log = log
         self._handlers: dict[type[_messages.Message], MessageHandler] = {}
         self._fetches: dict[str, asyncio.Task[None]] = {}
         self.undecodable_total = 0
@@ -82,16 +88,13 @@
             PeerUnreachable: No answer of that type came in time.
         """
         sent_ms = self.holder.clock.now_ms()
-        frame = await self._transport.call(
-            address,
-            self._wrap(message),
-            timeout_ms,
-        )
+        frame = await self._call(address, message, timeout_ms)
         try:
             envelope = _codec.decode(frame)
         except _codec.UndecodableMessage as fault:
             self.undecodable_total += 1
             raise _port.PeerUnreachable(str(fault)) from None
+        self.traffic.note_received(envelope.message, len(frame))
         self._compare_versions(envelope)
         self._note_confirmation(envelope, sent_ms)
         if not isinstance(envelope.message, answer):
@@ -104,6 +107,7 @@
         Returns:
             Whether the peer answered with a document.
         """
+        asked_ms = self.holder.clock.now_ms()
         try:
             answer = await self.ask(
                 address,
@@ -112,12 +116,50 @@
                 timeout_ms=_FETCH_TIMEOUT_MS,
             )
         except _port.PeerUnreachable:
+            self._note_fetch(address, asked_ms, 0, 'no answer')
             return False
         if not answer.text:
+            self._note_fetch(address, asked_ms, 0, 'none held')
             return False
-        self.holder.offer(answer.text, source=address)
+        adoption = self.holder.offer(answer.text, source=address)
+        self._note_fetch(address, asked_ms, len(answer.text), adoption.value)
         return True
 
+    def _note_fetch(
+        self,
+        address: str,
+        asked_ms: float,
+        size_bytes: int,
+        outcome: str,
+    ) -> None:
+        self._log.write(
+            observability.Event.CONFIGURATION_FETCHED,
+            peer=address,
+            outcome=outcome,
+            size_bytes=size_bytes,
+            took_ms=round(self.holder.clock.now_ms() - asked_ms),
+            in_progress=len(self._fetches),
+            version=self.holder.version,
+        )
+
+    async def _call(
+        self,
+        address: str,
+        message: _messages.Message,
+        timeout_ms: float,
+    ) -> bytes:
+        sent_ms = self.holder.clock.now_ms()
+        request = self._wrap(message)
+        self.traffic.note_sent(message, len(request))
+        try:
+            frame = await self._transport.call(address, request, timeout_ms)
+        except _port.PeerUnreachable:
+            self.traffic.note_silence(message)
+            raise
+        took_ms = self.holder.clock.now_ms() - sent_ms
+        self.traffic.note_answered(message, took_ms)
+        return frame
+
     def _wrap(self, message: _messages.Message) -> bytes:
         version, digest = self.holder.rank
         return _codec.encode(
@@ -137,19 +179,23 @@
         except _codec.UndecodableMessage as fault:
             self.undecodable_total += 1
             return self._wrap(_messages.Refused(fault=str(fault)[:500]))
+        self.traffic.note_received(envelope.message, len(frame))
         self._compare_versions(envelope)
+        answer = await self._answer(envelope)
+        answering = self._wrap(answer)
+        self.traffic.note_sent(answer, len(answering))
+        return answering
+
+    async def _answer(self, envelope: _messages.Envelope) -> _messages.Message:
         handler = self._handlers.get(type(envelope.message))
         if handler is None:
-            return self._wrap(
-                _messages.Refused(fault='request not served here')
-            )
+            return _messages.Refused(fault='request not served here')
         try:
-            answer = await handler(envelope.message, envelope.origin)
+            return await handler(envelope.message, envelope.origin)
         except Exception as fault:
             # One request that fails must not end the answering of others.
             self.failed_total += 1
-            answer = _messages.Refused(fault=repr(fault)[:500])
-        return self._wrap(answer)
+            return _messages.Refused(fault=repr(fault)[:500])
 
     def _compare_versions(self, envelope: _messages.Envelope) -> None:
         theirs = (envelope.configuration_version, envelope.configuration_digest)
--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -24,6 +24,8 @@
 _RETRY_S: Final = 0.5
 _OFF_DUTY_PERIODS: Final = 20
 _RESTART_PAUSE_S: Final = 1.0
+#: Bytes of control messages are logged at this interval.
+_TRAFFIC_LOG_S: Final = 5.0
 _NEWEST: Final = (
     configuration.Adoption.ADOPTED,
     configuration.Adoption.SAME,
@@ -31,7 +33,7 @@
 
 
 class FleetTimes(msgspec.Struct, frozen=True, kw_only=True):
-    """How the platform is read.
+    """How the platform is read and members are probed.
 
     Attributes:
         poll_ms: Time between two reads of the instance list on duty.
@@ -39,12 +41,14 @@
         reader_roles: Roles that read the platform.
         lists_instances: The platform lists the system's own instances;
             where it does not, members are found through the seeds.
+        probing: Times of the membership protocol.
     """
 
     poll_ms: int = 1000
     watch_ms: int = 10_000
     reader_roles: frozenset[directory.Role] = frozenset(directory.Role)
     lists_instances: bool = True
+    probing: membership.ProberSettings = membership.ProberSettings()
 
 
 class FleetMember:
@@ -61,8 +65,8 @@
         seeds: Control addresses of peers to ask when the list is missing.
         generator: Chooses peers.
         log: Takes events.
-        times: How the platform is read.
-        probing: Times of the membership protocol.
+        metrics: Counts control traffic.
+        times: How the platform is read and members are probed.
     """
 
     def __init__(
@@ -75,8 +79,8 @@
         seeds: Sequence[str],
         generator: random.Random,
         log: observability.EventLog,
+        metrics: observability.Metrics | None = None,
         times: FleetTimes | None = None,
-        probing: membership.ProberSettings | None = None,
     ) -> None:
         self.record = record
         self.clock = clock
@@ -104,6 +108,8 @@
             ),
             holder=self.holder,
             transport=transport,
+            metrics=metrics or observability.NoMetrics(),
+            log=log,
         )
         self.table = membership.MemberTable(
             own=control.MemberUpdate(
@@ -121,7 +127,7 @@
             node=self.node,
             table=self.table,
             clock=clock,
-            settings=probing or membership.ProberSettings(),
+            settings=self._times.probing,
             generator=generator,
             seeds=() if self._times.lists_instances else seeds,
         )
@@ -147,6 +153,7 @@
         if self._times.lists_instances:
             self._run_for_ever(self._poll_list)
         self._run_for_ever(self.pause_detector.run)
+        self._run_for_ever(self._log_traffic)
         await self._prober.join()
         await self._prober.push()
 
@@ -365,6 +372,15 @@
         )
         await self.refresh()
 
+    async def _log_traffic(self) -> None:
+        while True:
+            await asyncio.sleep(_TRAFFIC_LOG_S)
+            self.log.write(
+                observability.Event.CONTROL_TRAFFIC,
+                period_s=_TRAFFIC_LOG_S,
+                bytes_by_type=self.node.traffic.take_bytes(),
+            )
+
     def _run_for_ever(
         self,
         work: Callable[[], Coroutine[Any, Any, None]],
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -376,6 +376,9 @@
             reason=outcome.reason.value,
             why=outcome.explanation,
             sent=work.sent,
+            arrivals=work.arrivals,
+            begun=work.begun,
+            last_event=work.last_event,
             waited_ms=round(work.waited_ms),
             first_event_ms=None
             if work.first_event_ms is None
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -83,6 +83,12 @@
         'settings-refused',
         'The settings file is not valid; the settings in use stay.',
     )
+    CONFIGURATION_FETCHED = (
+        210,
+        'configuration-fetched',
+        'A peer was asked for its configuration; the outcome tells whether it '
+        'came and was newer.',
+    )
     MEMBER_CHANGED = (
         301,
         'member-changed',
@@ -93,6 +99,11 @@
         'peer-silent',
         'A peer gave no answer to a question.',
     )
+    CONTROL_TRAFFIC = (
+        303,
+        'control-traffic',
+        'Bytes of control messages by direction and type since the last line.',
+    )
     REQUEST_IN_DOUBT = (
         401,
         'request-in-doubt',
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -280,12 +280,13 @@
             seeds=own.seeds,
             generator=random.Random(),
             log=self.log,
+            metrics=self.metrics,
             times=fleet.FleetTimes(
                 watch_ms=_WATCH_MS,
                 reader_roles=frozenset((directory.Role.ENTRY,)),
                 lists_instances=False,
+                probing=PROBING,
             ),
-            probing=PROBING,
         )
 
     async def _join(self) -> None:
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -139,11 +139,12 @@
             seeds=own.seeds,
             generator=random.Random(),
             log=self.log,
+            metrics=self._metrics,
             times=fleet.FleetTimes(
                 reader_roles=frozenset((directory.Role.ENTRY,)),
                 lists_instances=False,
+                probing=PROBING,
             ),
-            probing=PROBING,
         )
         self._peers = _group_peers.GroupPeers(
             instance=own.instance,
--- a/tests/test_unlisted_fleet.py
+++ b/tests/test_unlisted_fleet.py
@@ -51,8 +51,10 @@
                 watch_ms=1000,
                 reader_roles=READERS,
                 lists_instances=False,
+                probing=processes.PROBING
+                if is_entry
+                else processes.GROUP_PROBING,
             ),
-            probing=processes.PROBING if is_entry else processes.GROUP_PROBING,
         )
         self.hosts[name] = host
         self.members[name] = member
