Fault matrix: a fault at the run step hits the booking that the cell is about

Cause: the fault struck at the first call of any target, other work included, so whether the naive version broke its promise hung on the order of messages.

Change: the fault waits for the call with the booking's body.

--- a/tests/fakes/target.py
+++ b/tests/fakes/target.py
@@ -41,11 +41,11 @@
         self.reset_after_run = False
         self.broken_after: int | None = None
         self.parts = 1
-        self.on_call = lambda: None
+        self.on_call = lambda _call: None
 
     @asynccontextmanager
     async def call(self, call: guard.TargetCall) -> AsyncIterator[FakeAnswer]:
-        self.on_call()
+        self.on_call(call)
         await asyncio.sleep(0.0005)
         if self.unreachable or self.host.dead:
             raise guard.TargetNotReached('connection refused')
--- a/tests/matrix/serving.py
+++ b/tests/matrix/serving.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from carobslip import verdicts
+from carobslip import guard, verdicts
 from tests import naive
 from tests.fakes import cluster as clusters
 from tests.fakes import host as hosts
@@ -25,6 +25,8 @@
     'settle': 'SettleKey',
     'replay': 'replay',
 }
+#: Body of the booking that a cell is about.
+OWN_BODY = b'own'
 _TRIES = 5
 _BACKGROUND = 4
 
@@ -105,7 +107,7 @@
             target.on_call = _call_observer(trigger, name)
     key = cluster.new_key()
     if step == 'replay':
-        await cluster.request('entry-1', key=key, body=b'own')
+        await cluster.request('entry-1', key=key, body=OWN_BODY)
     if step == 'choose':
         for member in cluster.members.values():
             if member.hints is not None:
@@ -155,8 +157,10 @@
 
 
 def _call_observer(trigger: Trigger, target: str):
-    def observe() -> None:
-        trigger.observe('call', f'guard-{target}', '')
+    def observe(call: guard.TargetCall) -> None:
+        # Other work may arrive first; the cell is about this booking.
+        if call.body == OWN_BODY:
+            trigger.observe('call', f'guard-{target}', '')
 
     return observe
 
@@ -177,7 +181,7 @@
     last = clusters.Reply()
     for number in range(_TRIES):
         request = cluster.request(
-            f'entry-{1 + number % 2}', key=key, body=b'own', timeout_ms=3000
+            f'entry-{1 + number % 2}', key=key, body=OWN_BODY, timeout_ms=3000
         )
         try:
             last = await asyncio.wait_for(request, 12)
@@ -192,7 +196,7 @@
 
 async def _request_again(cluster: clusters.Cluster, key: str) -> clusters.Reply:
     return await cluster.request(
-        'entry-2', key=key, body=b'own', timeout_ms=10_000
+        'entry-2', key=key, body=OWN_BODY, timeout_ms=10_000
     )
 
 
