Configurations travel packed, one at a time, in parts that are kept

Cause: whoever was behind fetched the whole document from each peer that spoke of a newer one, all at once, and a transfer that took longer than a second was begun anew while its bytes still filled the links. Above a size given by link and fleet no transfer ended any more, so the load never fell (fault class: repeats of large transfers that keep nothing of the lost ones; congestion that sustains itself).

Change: a process fetches one document at a time, from one of the peers with the highest rank, packed, in parts of 16 KiB; parts that came are kept when the peer is lost and the transfer goes on elsewhere. Versions that come meanwhile are skipped but for the highest. A process that starts compares versions before it fetches anything. Guards wait a second between two documents. A document that is not valid here is not fetched again.

--- a/src/carobslip/configuration/__init__.py
+++ b/src/carobslip/configuration/__init__.py
@@ -19,6 +19,12 @@
     WeightedService,
 )
 from carobslip.configuration._holder import Adoption, Holder
+from carobslip.configuration._package import (
+    MalformedPackage,
+    Package,
+    pack,
+    unpack,
+)
 from carobslip.configuration._policy import (
     Objective,
     Policy,
@@ -42,7 +48,9 @@
     'Forwarding',
     'Holder',
     'InvalidDocument',
+    'MalformedPackage',
     'Objective',
+    'Package',
     'Policy',
     'PolicyException',
     'PolicyOverride',
@@ -56,8 +64,10 @@
     'WeightedService',
     'Withdrawal',
     'find_step_fault',
+    'pack',
     'read_configuration',
     'read_document',
     'read_tagged',
     'to_text',
+    'unpack',
 ]
--- a/src/carobslip/control/__init__.py
+++ b/src/carobslip/control/__init__.py
@@ -8,7 +8,8 @@
 )
 from carobslip.control._messages import (
     ClaimId,
-    ConfigurationText,
+    CompareVersions,
+    ConfigurationPart,
     Envelope,
     FetchConfiguration,
     FetchTargets,
@@ -47,7 +48,8 @@
 __all__ = [
     'MESSAGE_MAX_BYTES',
     'ClaimId',
-    'ConfigurationText',
+    'CompareVersions',
+    'ConfigurationPart',
     'Envelope',
     'FetchConfiguration',
     'GuardHint',
--- a/src/carobslip/control/_codec.py
+++ b/src/carobslip/control/_codec.py
@@ -6,8 +6,8 @@
 
 from carobslip.control import _messages
 
-PROTOCOL: Final = 2
-#: Holds a configuration of a megabyte with its envelope.
+PROTOCOL: Final = 3
+#: Holds a list of some thousand targets with its envelope.
 MESSAGE_MAX_BYTES: Final = 1_200_000
 
 _encoder: Final = msgspec.msgpack.Encoder()
--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -12,7 +12,7 @@
 
 _NAME_MAX_CHARS = 128
 _MEMBERS_MAX = 64
-_TEXT_MAX_CHARS = 1_048_576
+_PACKAGE_MAX_BYTES = 4_194_304
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_NAME_MAX_CHARS)]
 
@@ -107,14 +107,40 @@
     news: News = ()
 
 
+class CompareVersions(_Message, frozen=True, kw_only=True):
+    """Asks for any answer; its envelope names the receiver's version."""
+
+
 class FetchConfiguration(_Message, frozen=True, kw_only=True):
-    """Asks for the configuration that the receiver holds."""
+    """Asks for a part of the configuration that the receiver holds.
+
+    Attributes:
+        version: Version of the document that the sender has begun to fetch.
+        digest: Its digest.
+        offset: Bytes that the sender has of it.
+    """
 
+    version: int = 0
+    digest: int = 0
+    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
 
-class ConfigurationText(_Message, frozen=True, kw_only=True):
-    """The configuration that the sender holds; empty when it holds none."""
 
-    text: Annotated[str, msgspec.Meta(max_length=_TEXT_MAX_CHARS)]
+class ConfigurationPart(_Message, frozen=True, kw_only=True):
+    """A part of a packed configuration.
+
+    Attributes:
+        version: Version of the document; 0 when the sender holds none.
+        digest: Its digest.
+        size_bytes: Size of the whole package.
+        offset: Where this part begins.
+        content: The bytes from there.
+    """
+
+    version: int
+    digest: int
+    size_bytes: Annotated[int, msgspec.Meta(ge=0, le=_PACKAGE_MAX_BYTES)] = 0
+    offset: int = 0
+    content: bytes = b''
 
 
 class FetchTargets(_Message, frozen=True, kw_only=True):
@@ -320,8 +346,9 @@
     | ProbeRequest
     | ProbeAcknowledged
     | ProbeFailed
+    | CompareVersions
     | FetchConfiguration
-    | ConfigurationText
+    | ConfigurationPart
 )
 _ForwardingMessage = (
     FetchTargets
--- a/src/carobslip/control/_node.py
+++ b/src/carobslip/control/_node.py
@@ -1,13 +1,19 @@
 """One process's end of the control traffic."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, TypeVar
 
 from carobslip import configuration, observability
-from carobslip.control import _codec, _messages, _port, _traffic
+from carobslip.control import (
+    _codec,
+    _fetcher,
+    _messages,
+    _package_shelf,
+    _port,
+    _traffic,
+)
 
-_FETCH_TIMEOUT_MS: Final = 1000.0
+_COMPARE_TIMEOUT_MS: Final = 1000.0
 
 AnswerT = TypeVar('AnswerT', bound=_messages.Message)
 MessageHandler = Callable[[Any, _messages.Origin], Awaitable[_messages.Message]]
@@ -17,7 +23,7 @@
     """Sends and answers messages, and keeps configurations equal.
 
     Every envelope carries the sender's configuration version; whoever is
-    behind fetches the document from the peer that is ahead.
+    behind fetches the document from a peer that is ahead.
 
     Args:
         origin: This process.
@@ -25,6 +31,7 @@
         transport: How messages travel.
         metrics: Counts them by type.
         log: Takes a line for each configuration that was fetched or not.
+        fetch_pause_ms: Least time between two fetched configurations.
     """
 
     def __init__(
@@ -35,17 +42,24 @@
         transport: _port.Transport,
         metrics: observability.Metrics,
         log: observability.EventLog,
+        fetch_pause_ms: float = 0,
     ) -> None:
         self.origin = origin
         self.holder = holder
         self._transport = transport
         self.traffic = _traffic.Traffic(metrics=metrics)
-        self._log = log
         self._handlers: dict[type[_messages.Message], MessageHandler] = {}
-        self._fetches: dict[str, asyncio.Task[None]] = {}
+        self._shelf = _package_shelf.PackageShelf(holder=holder)
+        self._fetcher = _fetcher.ConfigurationFetcher(
+            holder=holder,
+            ask=self._ask_part,
+            log=log,
+            pause_ms=fetch_pause_ms,
+        )
         self.undecodable_total = 0
         self.failed_total = 0
         self.on(_messages.FetchConfiguration, self._answer_fetch)
+        self.on(_messages.CompareVersions, self._answer_comparison)
 
     def on(
         self,
@@ -64,8 +78,7 @@
 
     async def close(self) -> None:
         """Stops all traffic."""
-        for fetch in self._fetches.values():
-            fetch.cancel()
+        self._fetcher.close()
         await self._transport.close()
 
     async def ask(
@@ -101,46 +114,18 @@
             raise _port.PeerUnreachable(f'answered {envelope.message!r}')
         return envelope.message
 
-    async def fetch_configuration(self, address: str) -> bool:
-        """Fetches a peer's configuration.
-
-        Returns:
-            Whether the peer answered with a document.
-        """
-        asked_ms = self.holder.clock.now_ms()
+    async def catch_up_with(self, address: str) -> None:
+        """Compares versions with a peer, and fetches what it has ahead."""
         try:
-            answer = await self.ask(
+            await self.ask(
                 address,
-                _messages.FetchConfiguration(),
-                answer=_messages.ConfigurationText,
-                timeout_ms=_FETCH_TIMEOUT_MS,
+                _messages.CompareVersions(),
+                answer=_messages.Noted,
+                timeout_ms=_COMPARE_TIMEOUT_MS,
             )
         except _port.PeerUnreachable:
-            self._note_fetch(address, asked_ms, 0, 'no answer')
-            return False
-        if not answer.text:
-            self._note_fetch(address, asked_ms, 0, 'none held')
-            return False
-        adoption = self.holder.offer(answer.text, source=address)
-        self._note_fetch(address, asked_ms, len(answer.text), adoption.value)
-        return True
-
-    def _note_fetch(
-        self,
-        address: str,
-        asked_ms: float,
-        size_bytes: int,
-        outcome: str,
-    ) -> None:
-        self._log.write(
-            observability.Event.CONFIGURATION_FETCHED,
-            peer=address,
-            outcome=outcome,
-            size_bytes=size_bytes,
-            took_ms=round(self.holder.clock.now_ms() - asked_ms),
-            in_progress=len(self._fetches),
-            version=self.holder.version,
-        )
+            return
+        await self._fetcher.finish()
 
     async def _call(
         self,
@@ -198,12 +183,10 @@
             return _messages.Refused(fault=repr(fault)[:500])
 
     def _compare_versions(self, envelope: _messages.Envelope) -> None:
-        theirs = (envelope.configuration_version, envelope.configuration_digest)
-        address = envelope.origin.control_address
-        if theirs <= self.holder.rank or address in self._fetches:
-            return
-        fetch = asyncio.ensure_future(self._fetch_once(address))
-        self._fetches[address] = fetch
+        self._fetcher.note(
+            envelope.origin.control_address,
+            (envelope.configuration_version, envelope.configuration_digest),
+        )
 
     def _note_confirmation(
         self,
@@ -216,15 +199,29 @@
         if theirs == self.holder.rank:
             self.holder.confirm(sent_ms - envelope.configuration_age_ms)
 
-    async def _fetch_once(self, address: str) -> None:
-        try:
-            await self.fetch_configuration(address)
-        finally:
-            self._fetches.pop(address, None)
+    async def _ask_part(
+        self,
+        address: str,
+        request: _messages.FetchConfiguration,
+        timeout_ms: float,
+    ) -> _messages.ConfigurationPart:
+        return await self.ask(
+            address,
+            request,
+            answer=_messages.ConfigurationPart,
+            timeout_ms=timeout_ms,
+        )
 
     async def _answer_fetch(
         self,
         request: _messages.FetchConfiguration,
         origin: _messages.Origin,
-    ) -> _messages.ConfigurationText:
-        return _messages.ConfigurationText(text=self.holder.text)
+    ) -> _messages.ConfigurationPart:
+        return self._shelf.part_for(request)
+
+    async def _answer_comparison(
+        self,
+        request: _messages.CompareVersions,
+        origin: _messages.Origin,
+    ) -> _messages.Noted:
+        return _messages.Noted()
--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -42,6 +42,8 @@
         lists_instances: The platform lists the system's own instances;
             where it does not, members are found through the seeds.
         probing: Times of the membership protocol.
+        fetch_pause_ms: Least time between two configurations that are
+            fetched from peers.
     """
 
     poll_ms: int = 1000
@@ -49,6 +51,7 @@
     reader_roles: frozenset[directory.Role] = frozenset(directory.Role)
     lists_instances: bool = True
     probing: membership.ProberSettings = membership.ProberSettings()
+    fetch_pause_ms: float = 0
 
 
 class FleetMember:
@@ -110,6 +113,7 @@
             transport=transport,
             metrics=metrics or observability.NoMetrics(),
             log=log,
+            fetch_pause_ms=self._times.fetch_pause_ms,
         )
         self.table = membership.MemberTable(
             own=control.MemberUpdate(
@@ -190,7 +194,7 @@
         chosen = self._random.sample(peers, min(_START_PEERS, len(peers)))
         await asyncio.gather(
             *([self._read_service(wait_ms=0)] if self._reads_platform else []),
-            *(self.node.fetch_configuration(address) for address in chosen),
+            *(self.node.catch_up_with(address) for address in chosen),
         )
 
     async def _gather_start_state(self) -> bool:
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -36,6 +36,8 @@
 #: rank by now.
 _SILENCES_GONE: Final = 12
 _PUSH_TIMEOUT_MS: Final = 100.0
+#: A guard uses little of a configuration and has a narrow link.
+_FETCH_PAUSE_MS: Final = 1000.0
 #: Entries hear of the group's load every so many periods.
 _LOAD_PERIODS: Final = 2
 #: Guards probe less often than entries: callers do not depend on them.
@@ -144,6 +146,7 @@
                 reader_roles=frozenset((directory.Role.ENTRY,)),
                 lists_instances=False,
                 probing=PROBING,
+                fetch_pause_ms=_FETCH_PAUSE_MS,
             ),
         )
         self._peers = _group_peers.GroupPeers(
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -120,10 +120,17 @@
         target, handler = known
         if network.random.random() < network.repeat_ratio:
             target.spawn(_ignore(handler(frame)))
-        # An answer travels even when nobody waits for it any more.
-        return await asyncio.shield(
-            target.spawn(self._answer(target, handler, frame))
-        )
+        if network.links:
+            # An answer takes its time on the links even when nobody waits
+            # for it any more.
+            return await asyncio.shield(
+                target.spawn(self._answer(target, handler, frame))
+            )
+        answer = await asyncio.shield(target.spawn(handler(frame)))
+        network.control_bytes += len(answer)
+        if not await network.travel(target.name, self._own.name):
+            await asyncio.sleep(3600)
+        return answer
 
     async def _answer(
         self, target: hosts.Host, handler: control.Handler, frame: bytes
--- a/tests/test_unlisted_fleet.py
+++ b/tests/test_unlisted_fleet.py
@@ -55,6 +55,7 @@
                 probing=processes.PROBING
                 if is_entry
                 else processes.GROUP_PROBING,
+                fetch_pause_ms=0 if is_entry else 1000,
             ),
         )
         self.hosts[name] = host
