Store: a watch that is too long for the link is not asked for again

A watch brings every value written since a revision. After 25 versions of 400 KB that is 10 MB; it was given up 0.8 s after its wait and asked for again from the same revision, for ever longer.

--- a/tests/standins/users_store.py
+++ b/tests/standins/users_store.py
@@ -18,6 +18,7 @@
         self.refuses = 0
         self.page = 500
         self.calls = []
+        self.bytes_per_s = None
         self._changed = asyncio.Event()
         self._runner = None
         self.address = ''
@@ -75,7 +76,8 @@
         keys = sorted(
             key for key in self.items if key.startswith(prefix) and key > after
         )
-        return web.json_response(
+        return await self._answer(
+            request,
             {
                 'items': [self.items[key] for key in keys[: self.page]],
                 'has_more': len(keys) > self.page,
@@ -102,10 +104,24 @@
             except TimeoutError:
                 pass
             events = self._events_after(after, prefix)
-        return web.json_response(
+        return await self._answer(
+            request,
             {'events': events, 'current_rev': self.revision},
         )
 
+    async def _answer(self, request, content):
+        if self.bytes_per_s is None:
+            return web.json_response(content)
+        body = json.dumps(content).encode()
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        step = self.bytes_per_s // 50
+        for start in range(0, len(body), step):
+            await response.write(body[start : start + step])
+            await asyncio.sleep(0.02)
+        return response
+
     def _events_after(self, after, prefix):
         return [
             event
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -190,6 +190,43 @@
     assert await source.read_configuration(0, 0) is None
 
 
+async def test_a_watch_too_long_for_the_link_is_not_repeated(platform):
+    source = sources.ConfigurationSource(client=platform.client, log=LOG)
+    large = [{**ROUTE, 'name': f'r{number}'} for number in range(150)]
+    platform.put('op/config', CONFIGURATION)
+    await source.read_configuration(0, 0)
+    platform.bytes_per_s = 250_000
+    for version in range(8, 33):
+        content = {**CONFIGURATION, 'version': version, 'routes': large}
+        platform.put('op/config', content)
+    with pytest.raises(fleet.PlatformUnavailable):
+        await source.read_configuration(1, 100)
+    text = await source.read_configuration(1, 100)
+    held = configuration.read_configuration(text, source='test')
+    assert held.forwarding.operators_version == 32
+
+
+async def test_an_answer_that_keeps_coming_is_waited_for(platform):
+    source = sources.ConfigurationSource(client=platform.client, log=LOG)
+    large = [{**ROUTE, 'name': f'r{number}'} for number in range(800)]
+    platform.put('op/config', {**CONFIGURATION, 'routes': large})
+    platform.bytes_per_s = 200_000
+    text = await source.read_configuration(0, 0)
+    held = configuration.read_configuration(text, source='test')
+    assert len(held.forwarding.routes) == 800
+
+
+async def test_several_versions_at_once_are_followed_by_a_read(platform):
+    source = sources.ConfigurationSource(client=platform.client, log=LOG)
+    platform.put('op/config', CONFIGURATION)
+    await source.read_configuration(0, 0)
+    platform.put('op/config', {**CONFIGURATION, 'version': 8})
+    platform.put('op/config', {**CONFIGURATION, 'version': 9})
+    await source.read_configuration(1, 100)
+    await source.read_configuration(1, 100)
+    assert platform.calls == ['range', 'watch', 'range']
+
+
 @pytest.mark.parametrize('status', [429, 503])
 async def test_store_that_refuses_is_unavailable(platform, status):
     platform.refuses = status
