Target list: a starting entry asks one seed at a time for it

Cause: the same class as the transfers of configurations: the whole list was asked of all seeds at once, each 0.4 s, with a time limit of 250 ms.

Change: one seed, chosen anew for each question.

Result: tests of processes and unlisted fleets pass; not measured by itself.

--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -303,15 +303,14 @@
 
     async def _wait_for_targets(self) -> None:
         """Waits until the list or a peer has named targets."""
-        seeds = set(self.own.seeds) - {self.own.control_address}
+        seeds = sorted(set(self.own.seeds) - {self.own.control_address})
         looks = 0
         while len(self.book) == 0:
             await asyncio.sleep(_LIST_LOOK_S)
             looks += 1
-            if looks % _LOOKS_PER_ASK == 0:
-                await asyncio.gather(
-                    *(self._ask_for_targets(seed) for seed in seeds),
-                )
+            if seeds and looks % _LOOKS_PER_ASK == 0:
+                # All seeds at once would send the whole list several times.
+                await self._ask_for_targets(random.choice(seeds))
 
     async def _ask_for_targets(self, address: str) -> None:
         try:
