Streams: a running call is given up only for one that answers

Cause: a call at a target whose group was said to stand still was taken back as soon as a place elsewhere was free. The second target was then not reached or rejected the request; or the repeat, for which room was only looked at, had been taken by one of the many other requests that moved at the same moment. The news itself was believed even while the target went on sending.

Change: the second call is made beside the first, after its repeat was paid for; whichever has something to pass on first takes the other back. A second run still begins right behind the last event that the caller has: if the first target sends one more event, the second call ends. A repeat that reached no target pays for the next one of the same request.

Alternatives: reserving the repeat before a call is given up leaves the second target that cannot be reached; waiting for its connection leaves the one that rejects.

Tests: nine new ones failed before and pass now; the one that the first call is taken back at once when the second answers, and that its splice has no gap, passed before too.

--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -4,9 +4,12 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+import msgspec
+
 from carobslip import guard, observability, targets, verdicts
 from carobslip.forwarding import (
     _admission,
+    _calls,
     _loads,
     _ports,
     _relay,
@@ -23,6 +26,8 @@
 _GROUP_STALL_MS: Final = 1500.0
 #: Requests at a stalled target look for room elsewhere at this interval.
 _STALL_LOOK_S: Final = 0.05
+#: Second targets that a request tries while its first one stands still.
+_MOVES_MAX: Final = 2
 
 
 class Attempts:
@@ -59,6 +64,7 @@
         self._demand_of = demand_of
         self._budget = budget
         self._tools = tools
+        self._relay = _relay.Relay(stalls=stalls, tools=tools)
 
     async def run(
         self,
@@ -67,79 +73,160 @@
     ) -> verdicts.Outcome:
         """Sends a request to one target, and judges how that ended.
 
+        While that target stands still, the request is sent to a second one as
+        well, if it may be repeated. The call that answers first is kept.
+
         Args:
             work: The request.
-            place: Where a place was taken for it.
+            place: Where a place was taken for it; it is given back.
         """
-        started_ms = self._tools.clock.now_ms()
-        work.sent += 1
-        work.arrivals += 1
+        calls: list[_calls.Call] = []
+        self._start(work, place, calls)
         work.is_at_target = True
-        outcome = await self._call_unless_stalled(work, place)
+        try:
+            outcome = await self._follow(work, calls)
+        finally:
+            await self._end_all(calls)
+        # Not after a cancellation: the call was in progress then.
         work.is_at_target = False
-        took_ms = self._tools.clock.now_ms() - started_ms
-        if outcome.verdict is _Verdict.RAN:
-            self._loads.note_success(place.target, took_ms)
-        else:
-            if outcome.verdict is _Verdict.NOT_RUN:
-                work.sent -= 1
-                work.unrun += 1
-            self._tools.log.write(
-                observability.Event.ATTEMPT_ENDED,
-                request=work.request.request_id,
-                target=place.target,
-                verdict=outcome.verdict.value,
-                reason=outcome.reason.value,
-                fault=outcome.explanation,
-                took_ms=round(took_ms),
-                list_revision=self._book.revision,
-            )
         return outcome
 
-    async def _call_unless_stalled(
+    def _start(
         self,
         work: _work.Work,
         place: targets.TargetRecord,
+        calls: list[_calls.Call],
+    ) -> None:
+        call = _calls.Call(
+            place=place,
+            started_ms=self._tools.clock.now_ms(),
+            calls=calls,
+        )
+        work.sent += 1
+        work.arrivals += 1
+        calls.append(call)
+        call.task = asyncio.ensure_future(self._call(work, call))
+
+    async def _follow(
+        self,
+        work: _work.Work,
+        calls: list[_calls.Call],
     ) -> verdicts.Outcome:
-        """Calls a target, and takes the call back when its group stalls."""
-        call = asyncio.ensure_future(self._call(work, place))
-        stall = asyncio.ensure_future(self._stalls.wait(place.target))
-        try:
-            await asyncio.wait(
-                (call, stall),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            while not call.done():
-                if self._move(work, place):
-                    return verdicts.may_have_run(
-                        _Reason.TARGET_FAILED,
-                        'its group stands still',
-                    )
-                await asyncio.wait((call,), timeout=_STALL_LOOK_S)
-            return call.result()
-        finally:
-            await _cancel_all(call, stall)
+        """Waits for the end of all calls, or a good end of one."""
+        last = verdicts.may_have_run(_Reason.CONNECTION_LOST)
+        while calls:
+            await self._wait(work, calls)
+            ended = [call for call in calls if _is_done(call)]
+            for call in ended:
+                calls.remove(call)
+                self._admission.release(call.place)
+                outcome = self._note_end(work, call)
+                if outcome.verdict is _Verdict.RAN:
+                    return outcome
+                if not call.is_taken_back:
+                    last = outcome
+            if len(calls) == 1:
+                self._start_second(work, calls)
+        return last
+
+    async def _wait(self, work: _work.Work, calls: list[_calls.Call]) -> None:
+        """Waits for the end of a call, or for news that a target stalls."""
+        awaited: set[asyncio.Future[Any]] = {
+            call.task for call in calls if call.task is not None
+        }
+        only = calls[0].place.target
+        if len(calls) > 1 or not work.may_be_sent_again:
+            await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+        elif self._stalls.has_news(only):
+            await asyncio.wait(awaited, timeout=_STALL_LOOK_S)
+        else:
+            news = asyncio.ensure_future(self._stalls.wait_for_news(only))
+            try:
+                await asyncio.wait(
+                    awaited | {news},
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            finally:
+                news.cancel()
 
-    def _move(self, work: _work.Work, place: targets.TargetRecord) -> bool:
-        """Takes a place elsewhere for a call at a stalled target.
+    def _start_second(
+        self,
+        work: _work.Work,
+        calls: list[_calls.Call],
+    ) -> None:
+        """Sends a request to a second target while the first stands still.
 
-        The call is given up only once it has another place.
+        The first call goes on until one of both has something to pass on: the
+        news of its target may be wrong, and the second may not answer.
         """
-        if not self._stalls.is_stalled(place.target):
-            return False
-        if not work.route.may_repeat or work.sent >= work.route.attempts_max:
-            return False
-        if not self._budget.has_room(work.service):
-            return False
-        work.next_place = self._admission.take(self._demand_of(work))
-        return work.next_place is not None
+        first = calls[0]
+        stays = first.is_passing_on or not self._stalls.is_stalled(
+            first.place.target,
+            since_ms=first.started_ms,
+        )
+        if stays or not self._may_start_second(work):
+            return
+        demand = self._demand_of(work)
+        place = self._admission.take(
+            msgspec.structs.replace(
+                demand,
+                excluded=demand.excluded | {first.place.target},
+            ),
+        )
+        if place is not None and self._budget.pay(work):
+            work.moves += 1
+            self._start(work, place, calls)
+
+    def _may_start_second(self, work: _work.Work) -> bool:
+        return (
+            work.may_be_sent_again
+            and work.moves < _MOVES_MAX
+            and self._budget.can_pay(work)
+        )
+
+    def _note_end(
+        self,
+        work: _work.Work,
+        call: _calls.Call,
+    ) -> verdicts.Outcome:
+        """Returns how a call has ended, and takes that into account."""
+        target = call.place.target
+        outcome = _outcome_of(call)
+        took_ms = self._tools.clock.now_ms() - call.started_ms
+        if outcome.verdict is _Verdict.RAN:
+            self._loads.note_success(target, took_ms)
+            return outcome
+        if outcome.verdict is _Verdict.NOT_RUN:
+            work.note_unrun(target)
+        else:
+            work.note_lost(target)
+        self._tools.log.write(
+            observability.Event.ATTEMPT_ENDED,
+            request=work.request.request_id,
+            target=target,
+            verdict=outcome.verdict.value,
+            reason=outcome.reason.value,
+            fault=outcome.explanation,
+            took_ms=round(took_ms),
+            list_revision=self._book.revision,
+        )
+        return outcome
+
+    async def _end_all(self, calls: list[_calls.Call]) -> None:
+        """Takes back what is still in progress."""
+        tasks = [call.task for call in calls if call.task is not None]
+        for call in calls:
+            call.take_back()
+            self._admission.release(call.place)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _call(
         self,
         work: _work.Work,
-        place: targets.TargetRecord,
+        call: _calls.Call,
     ) -> verdicts.Outcome:
-        call = _ports.ForwardCall(
+        place = call.place
+        sent = _ports.ForwardCall(
             request=work.request,
             target=place.target,
             address=place.address,
@@ -150,8 +237,8 @@
             and work.request.method == 'POST',
         )
         try:
-            async with self._port.call(call) as answer:
-                return await self._pass_on(work, place, answer)
+            async with self._port.call(sent) as answer:
+                return await self._pass_on(work, call, answer)
         except guard.TargetNotReached as fault:
             work.arrivals -= 1
             self._note_failure(place, is_unreachable=True)
@@ -163,9 +250,10 @@
     async def _pass_on(
         self,
         work: _work.Work,
-        place: targets.TargetRecord,
+        call: _calls.Call,
         answer: _ports.TargetAnswer,
     ) -> verdicts.Outcome:
+        place = call.place
         if answer.load is not None:
             total = answer.load.running + answer.load.waiting
             self._loads.note_total(
@@ -176,9 +264,9 @@
         if answer.has_not_run or answer.is_other_target:
             return self._judge_refusal(place, answer)
         if answer.head.is_success and answer.is_event_stream:
-            await _relay.relay_stream(work, answer, self._tools)
+            await self._relay.pass_stream(work, call, answer)
             return verdicts.ran()
-        body = await _relay.read_whole(answer)
+        body = await self._relay.read_whole(call, answer)
         if work.begun:
             # The answer of the first target has begun; an error of the
             # second cannot take its place.
@@ -186,26 +274,20 @@
                 _Reason.TARGET_FAILED,
                 f'status {answer.head.status} when resumed',
             )
-        if not answer.head.is_success and self._should_repeat(work, answer):
+        if answer.head.status >= 500 and (
+            call.has_rival or self._should_repeat(work)
+        ):
             return verdicts.may_have_run(
                 _Reason.TARGET_FAILED,
                 f'status {answer.head.status}',
             )
-        await work.caller.answer(answer.head, body)
+        with call.passing_on():
+            await work.caller.answer(answer.head, body)
         return verdicts.ran()
 
-    def _should_repeat(
-        self,
-        work: _work.Work,
-        answer: _ports.TargetAnswer,
-    ) -> bool:
+    def _should_repeat(self, work: _work.Work) -> bool:
         """Tells whether a target's failure is worth a second target."""
-        return (
-            answer.head.status >= 500
-            and work.route.may_repeat
-            and work.sent < work.route.attempts_max
-            and self._budget.has_room(work.service)
-        )
+        return work.may_be_sent_again and self._budget.can_pay(work)
 
     def _judge_refusal(
         self,
@@ -242,7 +324,14 @@
             )
 
 
-async def _cancel_all(*tasks: asyncio.Future[Any]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+def _is_done(call: _calls.Call) -> bool:
+    return call.task is None or call.task.done()
+
+
+def _outcome_of(call: _calls.Call) -> verdicts.Outcome:
+    if call.task is None or call.is_taken_back:
+        return verdicts.may_have_run(
+            _Reason.TARGET_FAILED,
+            'another target answered first',
+        )
+    return call.task.result()
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -92,7 +92,7 @@
         self._metrics = tools.metrics
         self._index: _table.ForwardingIndex | None = None
         self._configured = asyncio.Event()
-        self.stalls = _stalls.StallBook()
+        self.stalls = _stalls.StallBook(clock=tools.clock)
         self.in_progress = 0
         self.admission = _admission.Admission(
             loads=loads,
@@ -165,7 +165,7 @@
             async with asyncio.timeout(
                 (work.deadline_ms - self._clock.now_ms()) / 1000,
             ):
-                outcome = await self._try_all(work)
+                outcome = await self._try_in_turn(work)
         except TimeoutError:
             outcome = self._end_late(work)
         except asyncio.CancelledError:
@@ -242,44 +242,24 @@
             service=service,
         )
 
-    async def _try_all(self, work: _work.Work) -> verdicts.Outcome:
-        try:
-            return await self._try_in_turn(work)
-        finally:
-            if work.next_place is not None:
-                self.admission.release(work.next_place)
-
     async def _try_in_turn(self, work: _work.Work) -> verdicts.Outcome:
         while True:
-            place = await self._next_place(work)
+            place = await self._find_place(work)
             if isinstance(place, _admission.Refusal):
                 return self._conclude(work, place)
-            try:
-                outcome = await self._attempts.run(work, place)
-            finally:
-                self.admission.release(place)
+            outcome = await self._attempts.run(work, place)
             if outcome.verdict is _Verdict.RAN:
                 return outcome
-            if outcome.verdict is _Verdict.MAY_HAVE_RUN:
-                work.may_have_run = True
-                work.lost_at.add(place.target)
-                work.rejected_by.clear()
-            else:
-                work.rejected_by.add(place.target)
             if not self._may_try_again(work):
                 return self._give_up(work, outcome)
             if work.unrun >= _REJECTIONS_BEFORE_PAUSE:
                 await asyncio.sleep(_REJECTED_PAUSE_S)
                 work.rejected_by.clear()
 
-    async def _next_place(
+    async def _find_place(
         self,
         work: _work.Work,
     ) -> targets.TargetRecord | _admission.Refusal:
-        place = work.next_place
-        if place is not None:
-            work.next_place = None
-            return place
         asked_ms = self._clock.now_ms()
         admitted = await self.admission.admit(self._demand_of(work))
         work.waited_ms += self._clock.now_ms() - asked_ms
@@ -292,7 +272,7 @@
             return False
         if work.sent >= work.route.attempts_max:
             return False
-        return work.arrivals == 0 or self._budget.try_spend(work.service)
+        return self._budget.pay(work)
 
     def _demand_of(self, work: _work.Work) -> _admission.Demand:
         arrived_ms = work.request.arrived_ms
--- a/src/carobslip/forwarding/_relay.py
+++ b/src/carobslip/forwarding/_relay.py
@@ -3,50 +3,104 @@
 from typing import Final
 
 from carobslip import guard
-from carobslip.forwarding import _events, _ports, _request, _tools, _work
+from carobslip.forwarding import (
+    _calls,
+    _events,
+    _ports,
+    _request,
+    _stalls,
+    _tools,
+    _work,
+)
 
 #: Longest answer that is held back until it is whole.
 _ANSWER_MAX_BYTES: Final = 8_388_608
 
 
-async def read_whole(answer: _ports.TargetAnswer) -> bytes:
-    """Returns a whole body.
+class Relay:
+    """Reads the answers of targets, and passes streams on.
 
-    Raises:
-        guard.TargetLost: It broke off, or is too long to be held back.
+    Args:
+        stalls: Learns which targets send something.
+        tools: Clock and records.
     """
-    parts = []
-    size_bytes = 0
-    async for content in answer.chunks():
-        parts.append(content)
-        size_bytes += len(content)
-        if size_bytes > _ANSWER_MAX_BYTES:
-            raise guard.TargetLost('the answer is too long')
-    return b''.join(parts)
-
-
-async def relay_stream(
-    work: _work.Work,
-    answer: _ports.TargetAnswer,
-    tools: _tools.Tools,
-) -> None:
-    """Passes a stream on event by event.
 
-    Raises:
-        guard.TargetLost: The stream broke; whole events were passed on.
-    """
-    splitter = _events.EventSplitter()
-    async for content in answer.chunks():
-        fresh = [
-            event.raw
-            for event in splitter.feed(content)
-            if _is_next(work, event)
-        ]
-        if fresh:
-            await _write(work, answer.head, b''.join(fresh), tools)
-    if splitter.rest or not work.begun:
-        await _write(work, answer.head, splitter.rest, tools)
-    await work.caller.end()
+    def __init__(
+        self,
+        *,
+        stalls: _stalls.StallBook,
+        tools: _tools.Tools,
+    ) -> None:
+        self._stalls = stalls
+        self._tools = tools
+
+    async def read_whole(
+        self,
+        call: _calls.Call,
+        answer: _ports.TargetAnswer,
+    ) -> bytes:
+        """Returns a whole body.
+
+        Raises:
+            guard.TargetLost: It broke off, or is too long to be held back.
+        """
+        parts = []
+        size_bytes = 0
+        async for content in answer.chunks():
+            self._note(call, content)
+            parts.append(content)
+            size_bytes += len(content)
+            if size_bytes > _ANSWER_MAX_BYTES:
+                raise guard.TargetLost('the answer is too long')
+        return b''.join(parts)
+
+    async def pass_stream(
+        self,
+        work: _work.Work,
+        call: _calls.Call,
+        answer: _ports.TargetAnswer,
+    ) -> None:
+        """Passes a stream on event by event.
+
+        Raises:
+            guard.TargetLost: The stream broke; whole events were passed on.
+        """
+        splitter = _events.EventSplitter()
+        async for content in answer.chunks():
+            self._note(call, content)
+            fresh = [
+                event.raw
+                for event in splitter.feed(content)
+                if _is_next(work, event)
+            ]
+            if fresh:
+                with call.passing_on():
+                    await self._write(work, answer.head, b''.join(fresh))
+        with call.passing_on():
+            if splitter.rest or not work.begun:
+                await self._write(work, answer.head, splitter.rest)
+            await work.caller.end()
+
+    def _note(self, call: _calls.Call, content: bytes) -> None:
+        call.check()
+        if content:
+            self._stalls.note_heard(call.place.target)
+
+    async def _write(
+        self,
+        work: _work.Work,
+        head: _request.AnswerHead,
+        content: bytes,
+    ) -> None:
+        work.progress_ms = self._tools.clock.now_ms()
+        if not work.begun:
+            work.begun = True
+            after_ms = work.progress_ms - work.request.arrived_ms
+            work.first_event_ms = after_ms
+            self._tools.metrics.time_ms('first_event', after_ms)
+            await work.caller.begin(head)
+        if content:
+            await work.caller.write(content)
 
 
 def _is_next(work: _work.Work, event: _events.StreamEvent) -> bool:
@@ -64,19 +118,3 @@
         raise guard.TargetLost(f'event {event.number} follows {last}')
     work.last_event = event.number
     return True
-
-
-async def _write(
-    work: _work.Work,
-    head: _request.AnswerHead,
-    content: bytes,
-    tools: _tools.Tools,
-) -> None:
-    if not work.begun:
-        work.begun = True
-        after_ms = tools.clock.now_ms() - work.request.arrived_ms
-        work.first_event_ms = after_ms
-        tools.metrics.time_ms('first_event', after_ms)
-        await work.caller.begin(head)
-    if content:
-        await work.caller.write(content)
--- a/src/carobslip/forwarding/_repeat_budget.py
+++ b/src/carobslip/forwarding/_repeat_budget.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from carobslip import clocks, identifiers
+from carobslip.forwarding import _work
 
 #: Share of the fleet's bound that is used: entries see each other late.
 _USED_SHARE: Final = 0.7
@@ -60,6 +61,22 @@
         moments.append(self._clock.now_ms())
         self._expire(moments)
 
+    def can_pay(self, work: _work.Work) -> bool:
+        """Tells whether one more arrival of a request is allowed."""
+        return work.paid >= work.arrivals or self.has_room(work.service)
+
+    def pay(self, work: _work.Work) -> bool:
+        """Pays for the next arrival of a request; tells whether it may be.
+
+        The first one is free. What was paid for an arrival that never came
+        about pays for the next one.
+        """
+        if work.paid < work.arrivals:
+            if not self.try_spend(work.service):
+                return False
+            work.paid += 1
+        return True
+
     def try_spend(self, service: identifiers.ServiceId) -> bool:
         """Takes one repeat; tells whether it is allowed."""
         if not self.has_room(service):
--- a/src/carobslip/forwarding/_work.py
+++ b/src/carobslip/forwarding/_work.py
@@ -1,6 +1,6 @@
 """How far one forwarded request has come."""
 
-from carobslip import configuration, identifiers, targets
+from carobslip import configuration, identifiers
 from carobslip.forwarding import _ports, _request
 
 
@@ -14,7 +14,9 @@
         is_at_target: A call is in progress.
         may_have_run: Some call ended without proof that it did not run.
         begun: The caller has the head of an answer.
-        next_place: A place that was taken for the next call already.
+        moves: Second targets that were tried while the first stood still.
+        paid: Arrivals beyond the first that the budget has granted.
+        progress_ms: When the caller last got something, or had sent it all.
         last_event: The last event that the caller has.
         lost_at: Targets whose answer was lost.
         rejected_by: Targets that have just rejected it.
@@ -40,7 +42,9 @@
         self.is_at_target = False
         self.may_have_run = False
         self.begun = False
-        self.next_place: targets.TargetRecord | None = None
+        self.moves = 0
+        self.paid = 0
+        self.progress_ms = request.arrived_ms
         self.waited_ms = 0.0
         self.first_event_ms: float | None = None
         self.last_event: int | None = None
@@ -54,6 +58,23 @@
         """Targets that are not tried now."""
         return frozenset(self.lost_at | self.rejected_by)
 
+    @property
+    def may_be_sent_again(self) -> bool:
+        """Tells whether one more run does no harm and is allowed."""
+        return self.route.may_repeat and self.sent < self.route.attempts_max
+
+    def note_unrun(self, target: identifiers.TargetId) -> None:
+        """Takes into account that a target provably did not run it."""
+        self.sent -= 1
+        self.unrun += 1
+        self.rejected_by.add(target)
+
+    def note_lost(self, target: identifiers.TargetId) -> None:
+        """Takes into account that a target may have run it."""
+        self.may_have_run = True
+        self.lost_at.add(target)
+        self.rejected_by.clear()
+
     @property
     def resume_after(self) -> str | None:
         """The event after which a stream goes on, if any."""
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -21,7 +21,10 @@
 
 
 class FakeAnswer:
-    """A target's answer, in parts; ``broken`` ends it with a reset."""
+    """A target's answer, in parts; ``broken`` ends it with a reset.
+
+    A number among the parts is a pause in seconds.
+    """
 
     def __init__(
         self,
@@ -50,6 +53,9 @@
 
     async def chunks(self):
         for part in self._parts:
+            if isinstance(part, float):
+                await asyncio.sleep(part)
+                continue
             await asyncio.sleep(self._part_pause_s)
             yield part
         if self._broken:
@@ -62,6 +68,16 @@
     return FakeAnswer(parts=parts, is_event_stream=True)
 
 
+def events_with_pauses(*steps):
+    """Returns an answer that streams numbered events, with pauses in s."""
+    answer = events()
+    answer._parts = tuple(
+        step if isinstance(step, float) else b'id: %d\ndata: x\n\n' % step
+        for step in steps
+    )
+    return answer
+
+
 def broken_events(*numbers, rest=b''):
     """Returns a stream that breaks off after some events and a part."""
     answer = events(*numbers)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -424,3 +424,183 @@
         assert entry.loads.own_of(other) == 0
 
     virtual.play(story)
+
+
+def whole_stream(last):
+    """Returns what a caller has of a stream that is complete."""
+    return b''.join(b'id: %d\ndata: x\n\n' % one for one in range(1, last + 1))
+
+
+async def stall(entry, *, after_s, again_s=0.2, seconds=2.0):
+    """Tells an entry, again and again, that the first target stands still."""
+    await asyncio.sleep(after_s)
+    target = entry.port.calls[0].target
+    for _number in range(int(seconds / again_s)):
+        entry.forwarder.stalls.note([target], is_stalled=True)
+        entry.loads.avoid(target, 500)
+        await asyncio.sleep(again_s)
+
+
+def test_stream_is_not_given_up_for_a_target_that_cannot_be_reached():
+    async def story():
+        script = [
+            fakes.events_with_pauses(1, 2, 1.2, 3, 4),
+            'refused connection',
+            'refused connection',
+        ]
+        entry = fakes.Entry(script, held=fakes.table(), count=3)
+        news = asyncio.ensure_future(stall(entry, after_s=0.3))
+        outcome, caller = await entry.send('/note/x')
+        news.cancel()
+        assert outcome.verdict is RAN
+        assert caller.is_whole
+        assert caller.body == whole_stream(4)
+
+    virtual.play(story)
+
+
+def test_stream_is_not_given_up_for_a_target_that_rejects_it():
+    async def story():
+        script = [fakes.events_with_pauses(1, 2, 1.2, 3), refusal(), refusal()]
+        entry = fakes.Entry(script, held=fakes.table(), count=3)
+        news = asyncio.ensure_future(stall(entry, after_s=0.3))
+        outcome, caller = await entry.send('/note/x')
+        news.cancel()
+        assert outcome.verdict is RAN
+        assert caller.body == whole_stream(3)
+
+    virtual.play(story)
+
+
+@pytest.mark.parametrize('streams', [12, 40])
+def test_no_more_streams_are_given_up_than_may_be_repeated(streams):
+    async def story():
+        script = [
+            fakes.events_with_pauses(1, 2, 1.4, 3, 4) for _one in range(streams)
+        ]
+        script += [fakes.events(3, 4) for _one in range(streams)]
+        entry = fakes.Entry(script, held=fakes.table(), slots=streams)
+        entry.entries = 9
+        entry.loads.note_total(identifiers.TargetId('drafts-0'), 0)
+        entry.loads.avoid(identifiers.TargetId('drafts-1'), 200)
+        sends = [
+            asyncio.ensure_future(
+                entry.send('/note/x', request_id=f'r{number}'),
+            )
+            for number in range(streams)
+        ]
+        await asyncio.sleep(0.3)
+        assert {call.target for call in entry.port.calls} == {'drafts-0'}
+        entry.loads.note_total(identifiers.TargetId('drafts-1'), 0)
+        await stall(entry, after_s=0)
+        ends = await asyncio.gather(*sends)
+        assert [one.verdict for one, _caller in ends] == [RAN] * streams
+        bodies = {caller.body for _one, caller in ends}
+        assert bodies == {whole_stream(4)}
+        # A ninth of 20 extra, and a fifth of the requests.
+        repeats = len(entry.port.calls) - streams
+        assert repeats <= streams * 0.2 + 20 / 9
+
+    virtual.play(story)
+
+
+def test_late_news_does_not_move_a_stream_that_goes_on():
+    async def story():
+        steps = [step for number in range(1, 21) for step in (number, 0.1)]
+        entry = fakes.Entry(
+            [fakes.events_with_pauses(*steps)],
+            held=fakes.table(),
+        )
+        news = asyncio.ensure_future(stall(entry, after_s=0.25))
+        outcome, caller = await entry.send('/note/x')
+        news.cancel()
+        assert outcome.verdict is RAN
+        assert caller.body == whole_stream(20)
+        assert len(entry.port.calls) == 1
+
+    virtual.play(story)
+
+
+def test_stream_whose_first_target_goes_on_first_stays_there():
+    async def story():
+        script = [
+            fakes.events_with_pauses(1, 2, 0.9, 3, 0.4, 4, 5),
+            fakes.events_with_pauses(0.6, 3, 4, 5),
+        ]
+        entry = fakes.Entry(script, held=fakes.table())
+        news = asyncio.ensure_future(stall(entry, after_s=0.3))
+        outcome, caller = await entry.send('/note/x')
+        news.cancel()
+        assert outcome.verdict is RAN
+        assert caller.body == whole_stream(5)
+        first, second = (call.target for call in entry.port.calls)
+        assert entry.port.cancelled == [second]
+        assert entry.loads.own_of(first) == 0
+        assert entry.loads.own_of(second) == 0
+
+    virtual.play(story)
+
+
+def test_call_is_taken_back_when_the_second_target_goes_on():
+    async def story():
+        script = [
+            fakes.events_with_pauses(1, 2, 5.0, 3),
+            fakes.events_with_pauses(0.1, 3, 3.0, 4),
+        ]
+        entry = fakes.Entry(script, held=fakes.table())
+        news = asyncio.ensure_future(stall(entry, after_s=0.3))
+        sending = asyncio.ensure_future(entry.send('/note/x'))
+        await asyncio.sleep(0.9)
+        first, second = entry.port.calls
+        assert second.last_event == '2'
+        assert entry.port.cancelled == [first.target]
+        outcome, caller = await sending
+        news.cancel()
+        assert outcome.verdict is RAN
+        assert caller.body == whole_stream(4)
+
+    virtual.play(story)
+
+
+def test_caller_that_leaves_cancels_the_calls_at_both_targets():
+    async def story():
+        entry = fakes.Entry(['hangs', 'hangs'], held=fakes.table())
+        sending = asyncio.ensure_future(entry.send('/note/x'))
+        await stall(entry, after_s=0.1, seconds=0.8)
+        assert len(entry.port.calls) == 2
+        assert not entry.port.cancelled
+        sending.cancel()
+        await asyncio.wait([sending])
+        targets_called = {call.target for call in entry.port.calls}
+        assert set(entry.port.cancelled) == targets_called
+        assert all(entry.loads.own_of(one) == 0 for one in targets_called)
+
+    virtual.play(story)
+
+
+def test_look_up_is_answered_by_the_first_of_two_targets_that_answers():
+    async def story():
+        late = fakes.FakeAnswer(parts=(1.5, b'late'))
+        script = [late, fakes.FakeAnswer(status=500), fakes.FakeAnswer()]
+        entry = fakes.Entry(script, held=fakes.table(), count=3)
+        news = asyncio.ensure_future(stall(entry, after_s=0.1))
+        outcome, caller = await entry.send('/look/x')
+        news.cancel()
+        assert outcome.verdict is RAN
+        assert (caller.head.status, caller.body) == (200, b'late')
+        assert len(entry.port.calls) == 2
+
+    virtual.play(story)
+
+
+def test_repeat_that_reached_no_target_pays_for_the_next_one():
+    async def story():
+        script = ['lost', 'refused connection', fakes.FakeAnswer()]
+        entry = fakes.Entry(script, held=fakes.table(), count=3)
+        # So much that one repeat is left.
+        entry.entries = 14
+        outcome, _caller = await entry.send('/look/x')
+        assert outcome.verdict is RAN
+        assert len(entry.port.calls) == 3
+
+    virtual.play(story)
