Admission: a request whose target was lost is not refused by foresight

Cause: a request that looks for its next target was judged like a new one: by the objective of the first event, which has passed long since, and by its arrival. Any queue was then "too long".

Change: such a request is not refused by foresight, since nothing truthful can be said to its caller any more. It starts before those that wait, and waits until 1.6 s after its last event. A waiter that may not use the target that is free no longer holds up those behind it.

Tests: four new ones failed before (two of them for want of the field) and pass now.

--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -51,6 +51,8 @@
         cold_rps: Requests a second that a cold target bears; 0 for no bound.
         share_min: Places at a target that an entry may take without word of
             the load of others.
+        goes_on: A target may have run it, so it cannot be refused truthfully
+            any more; it goes before all others.
     """
 
     service: identifiers.ServiceId
@@ -60,6 +62,7 @@
     excluded: frozenset[identifiers.TargetId] = frozenset()
     cold_rps: float = 0
     share_min: int = 1
+    goes_on: bool = False
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -87,9 +90,10 @@
         )
 
     @property
-    def rank(self) -> tuple[int, int]:
+    def rank(self) -> tuple[bool, int, int]:
         """Orders waiters: urgent ones first, then as they came."""
-        return self.demand.priority, self.order
+        demand = self.demand
+        return not demand.goes_on, demand.priority, self.order
 
 
 class Admission:
@@ -141,7 +145,7 @@
         Args:
             demand: What the request needs.
         """
-        if not self.waiting(demand.service):
+        if demand.goes_on or not self.waiting(demand.service):
             record = self._find_place(demand)
             if record is not None:
                 return self._start(record)
@@ -164,10 +168,11 @@
             if waiter.start.done():
                 continue
             record = self._find_place(waiter.demand)
-            if record is None:
+            if record is not None:
+                queue.remove(waiter)
+                waiter.start.set_result(self._start(record))
+            elif not waiter.demand.excluded:
                 return
-            queue.remove(waiter)
-            waiter.start.set_result(self._start(record))
 
     def wake_all(self) -> None:
         """Looks at every queue, after news about targets."""
@@ -207,6 +212,8 @@
             for record in allowed
             if not self._loads.is_avoided(record.target)
         ]
+        if demand.goes_on and allowed:
+            return None
         if not candidates and (
             self.waiting(demand.service) < _BLIND_WAITERS_MAX
         ):
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -35,6 +35,9 @@
 #: Callers give a stream up after two seconds without an event; the first one
 #: needs part of that time after the start.
 _STREAM_WAIT_MAX_MS: Final = 1200.0
+#: A stream whose target was lost waits so long for the next one after its last
+#: event; its caller has what came before, and cannot be refused.
+_STREAM_GOES_ON_WAIT_MAX_MS: Final = 1600.0
 #: A plain call waits for a start during this part of its time.
 _PLAIN_WAIT_SHARE: Final = 0.4
 #: Plain calls that an entry may have at one target although it does not know
@@ -278,10 +281,13 @@
         arrived_ms = work.request.arrived_ms
         on_time_ms = _ON_TIME_WAIT_SHARE * work.route.objective_ms
         is_stream = work.route.kind is configuration.RequestKind.STREAM
-        if is_stream:
-            wait_ms = _STREAM_WAIT_MAX_MS
-        else:
+        if not is_stream:
             wait_ms = _PLAIN_WAIT_SHARE * (work.deadline_ms - arrived_ms)
+            wait_until_ms = arrived_ms + wait_ms
+        elif work.may_have_run:
+            wait_until_ms = work.progress_ms + _STREAM_GOES_ON_WAIT_MAX_MS
+        else:
+            wait_until_ms = arrived_ms + _STREAM_WAIT_MAX_MS
         team_priority = None if work.team is None else work.team.priority
         return _admission.Demand(
             service=work.service,
@@ -289,7 +295,8 @@
             if team_priority is None
             else team_priority,
             on_time_until_ms=arrived_ms + on_time_ms,
-            wait_until_ms=min(arrived_ms + wait_ms, work.deadline_ms),
+            wait_until_ms=min(wait_until_ms, work.deadline_ms),
+            goes_on=work.may_have_run,
             excluded=work.excluded,
             cold_rps=self._cold_rps(work.service),
             share_min=1 if is_stream else _PLAIN_SHARE_MIN,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -304,3 +304,48 @@
         assert load.clock.now_ms() == began_ms
 
     virtual.play(story)
+
+
+def test_request_that_goes_on_starts_before_those_that_wait():
+    async def story():
+        load = Load(targets=1, slots=1, service_s=0.2)
+        order = []
+
+        async def send(name, **changes):
+            await load.send(**changes)
+            order.append(name)
+
+        await asyncio.gather(
+            send('running'),
+            send('waiting', priority=0),
+            send('goes on', priority=2, goes_on=True),
+        )
+        assert order == ['running', 'goes on', 'waiting']
+
+    virtual.play(story)
+
+
+def test_waiter_that_may_not_use_a_free_target_does_not_hold_up_others():
+    async def story():
+        load = Load(targets=2, slots=1, service_s=0.2)
+        first = load.records[0].target
+        second = load.records[1].target
+        load.loads.note_start(first)
+        load.loads.note_start(second)
+        sends = [
+            asyncio.ensure_future(
+                load.send(goes_on=True, excluded=frozenset({first})),
+            ),
+            asyncio.ensure_future(load.send()),
+        ]
+        await asyncio.sleep(0.01)
+        load.loads.note_end(first)
+        load.admission.wake_all()
+        await asyncio.sleep(0.01)
+        assert [one[2] for one in load.started] == [first]
+        load.loads.note_end(second)
+        load.admission.wake_all()
+        await asyncio.gather(*sends)
+        assert [one[2] for one in load.started] == [first, second]
+
+    virtual.play(story)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -593,6 +593,27 @@
     virtual.play(story)
 
 
+def test_stream_that_was_lost_is_not_refused_for_a_long_queue():
+    async def story():
+        script = [fakes.broken_events(1, 2), fakes.events(3, 4)]
+        entry = fakes.Entry(script, held=fakes.table(), slots=1)
+        busy = identifiers.TargetId('drafts-1')
+        entry.loads.avoid(busy, 10)
+        for target in ('drafts-0', busy):
+            entry.loads.note_success(target, 2000)
+        sending = asyncio.ensure_future(entry.send('/note/x'))
+        await asyncio.sleep(0.005)
+        entry.loads.note_start(busy)
+        await asyncio.sleep(0.9)
+        entry.loads.note_end(busy)
+        entry.forwarder.admission.wake_all()
+        outcome, caller = await sending
+        assert outcome.verdict is RAN
+        assert caller.body == whole_stream(4)
+
+    virtual.play(story)
+
+
 def test_repeat_that_reached_no_target_pays_for_the_next_one():
     async def story():
         script = ['lost', 'refused connection', fakes.FakeAnswer()]
@@ -604,3 +625,32 @@
         assert len(entry.port.calls) == 3
 
     virtual.play(story)
+
+
+def test_stream_goes_on_after_a_target_that_cannot_be_reached():
+    async def story():
+        script = [
+            fakes.broken_events(1, 2),
+            'refused connection',
+            fakes.events(3, 4),
+        ]
+        entry = fakes.Entry(script, held=fakes.table(), count=3, slots=1)
+        await asyncio.sleep(1)
+        # Later than a first start may be, but soon after the last event.
+        arrived_ms = entry.clock.now_ms() - 1100
+        spare = identifiers.TargetId('drafts-2')
+        entry.loads.note_start(spare)
+        for number in range(3):
+            target = identifiers.TargetId(f'drafts-{number}')
+            entry.loads.note_success(target, 2000)
+        sending = asyncio.ensure_future(
+            entry.send('/note/x', arrived_ms=arrived_ms),
+        )
+        await asyncio.sleep(0.5)
+        assert len(entry.port.calls) == 2
+        entry.loads.note_end(spare)
+        outcome, caller = await sending
+        assert outcome.verdict is RAN
+        assert caller.body == whole_stream(4)
+
+    virtual.play(story)
