Groups: a question about a rank reads no experts from another machine

Cause: every REPORT order read the lists of experts first. A coordinator asks the engine of a rank whose guard is silent from its own machine each period, and each such read makes the group rest. The answer was used only where the layout is read as a whole.

Ruled out: reads of the counts themselves; guards read them from the engine beside them alone.

Change: a REPORT names the experts only when asked to; the reading of a layout asks. There a rank whose guard is away is still read from another machine, as its experts are not known otherwise.

Test: test_a_question_from_another_machine_reads_no_experts, 1 read before, 0 after.

--- a/src/carobslip/expertmap/_lead.py
+++ b/src/carobslip/expertmap/_lead.py
@@ -360,6 +360,7 @@
             kind=_orders.OrderKind.REPORT,
             epoch=self._epoch,
             fence=self._fence,
+            with_experts=True,
         )
         answers = await asyncio.gather(
             *(self._ranks.order(rank, order) for rank in range(size)),
--- a/src/carobslip/expertmap/_orders.py
+++ b/src/carobslip/expertmap/_orders.py
@@ -46,6 +46,7 @@
         version: The map that is meant.
         step: The pass that is meant.
         layout: The whole layout of a map to prepare.
+        with_experts: A report shall name the experts that the rank holds.
     """
 
     kind: OrderKind
@@ -55,6 +56,7 @@
     version: int = 0
     step: int = 0
     layout: _group_map.Layout = ()
+    with_experts: bool = False
 
 
 class RankAnswer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -63,7 +65,7 @@
     Attributes:
         end: What became of the order.
         report: The engine's report; None if it gave none.
-        experts: Experts of this rank by set, in use; asked for with REPORT.
+        experts: Experts of this rank by set, in use, if they were asked for.
         fence: Highest number of a coordinator known at the rank.
         lead_rank: Rank of the last coordinator that changed something.
         armed_lead: The switch for which this guard armed the coordinator's
--- a/src/carobslip/expertmap/_rank_guard.py
+++ b/src/carobslip/expertmap/_rank_guard.py
@@ -104,9 +104,8 @@
     experts: tuple[tuple[int, ...], ...] = ()
     report: _group_map.RankReport | None = None
     try:
-        if order.kind is _orders.OrderKind.REPORT:
-            experts = await engine.experts()
-        else:
+        experts = await _experts_for(engine, order)
+        if order.kind is not _orders.OrderKind.REPORT:
             end = await engine.order(order)
         if is_remote and order.kind is _orders.OrderKind.HOLD:
             return _orders.RankAnswer(end=end, fence=order.fence)
@@ -122,6 +121,14 @@
     )
 
 
+async def _experts_for(
+    engine: _orders.EngineControl,
+    order: _orders.RankOrder,
+) -> tuple[tuple[int, ...], ...]:
+    # A group rests while another machine reads them.
+    return await engine.experts() if order.with_experts else ()
+
+
 async def _report_after(
     engine: _orders.EngineControl,
     order: _orders.RankOrder,
--- a/tests/test_group_switch.py
+++ b/tests/test_group_switch.py
@@ -205,3 +205,30 @@
         await scene.close()
 
     virtual.play(story)
+
+
+class CountedControl(engine_group.FakeControl):
+    """Counts the reads for which a group rests."""
+
+    def __init__(self, group, rank):
+        super().__init__(group, rank, is_remote=True)
+        self.reads = 0
+
+    async def experts(self):
+        self.reads += 1
+        return await super().experts()
+
+
+def test_a_question_from_another_machine_reads_no_experts():
+    async def story():
+        control = CountedControl(engine_group.FakeGroup(SIZE, seed=1), 2)
+        answer = await expertmap.give_order(
+            control,
+            _question(fence=1),
+            expert_copy_ms=0,
+            is_remote=True,
+        )
+        assert answer.report.rank == 2
+        assert control.reads == 0
+
+    virtual.play(story)
