Groups: news, layouts and loads in few bytes; entries do not hold up the guard

One silent entry also held up its period by the 100 ms for which an answer was awaited.

Loads were sent to all entries at once and the slowest was awaited.

Change (protocol 3): * Counts travel in 16 levels, compressed, in groups of more than 12 ranks every second period; what rounding leaves out goes with the next report. State and load of a rank go each period as before. * A layout travels as changes of the one that the coordinator gave out before. A guard that lacks that one asks for the whole. Digests say which one is meant. * Loads of a group name a digest of its addresses; an entry that lacks them asks for them. * Each entry is told in a task of its own: the newest load, one message on its way at most.

tests/test_bad_input.py names protocol 4 as the unknown one, as 3 is now known. tests/test_group_lead.py passes empty counts as bytes.

--- a/src/carobslip/control/_codec.py
+++ b/src/carobslip/control/_codec.py
@@ -6,7 +6,7 @@
 
 from carobslip.control import _messages
 
-PROTOCOL: Final = 2
+PROTOCOL: Final = 3
 #: Holds a configuration of a megabyte with its envelope.
 MESSAGE_MAX_BYTES: Final = 1_200_000
 
--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -12,6 +12,7 @@
 
 _NAME_MAX_CHARS = 128
 _MEMBERS_MAX = 64
+_RANKS_MAX = 1024
 _TEXT_MAX_CHARS = 1_048_576
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_NAME_MAX_CHARS)]
@@ -127,26 +128,28 @@
     snapshot: targets.TargetSnapshot
 
 
-class RankLoad(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Requests at one engine, by its address."""
-
-    address: Name
-    running: int
-    waiting: int
-
-
 class GroupLoad(_Message, frozen=True, kw_only=True):
     """Tells an entry how loaded the engines of a group are.
 
     Attributes:
         group: The group.
         is_open: Its ranks work; otherwise whatever is sent there stalls.
-        ranks: Load by rank.
+        members_digest: Digest of the addresses that the loads belong to.
+        requests: Requests at each engine, running and waiting.
+        members: The addresses, unless the entry has confirmed them.
     """
 
     group: identifiers.GroupId
     is_open: bool
-    ranks: tuple[RankLoad, ...]
+    members_digest: int
+    requests: Annotated[
+        tuple[int, ...],
+        msgspec.Meta(max_length=_RANKS_MAX),
+    ]
+    members: Annotated[
+        tuple[Name, ...],
+        msgspec.Meta(max_length=_RANKS_MAX),
+    ] = ()
 
 
 class RankNewsPush(_Message, frozen=True, kw_only=True):
@@ -156,21 +159,41 @@
 
 
 class OrderRank(_Message, frozen=True, kw_only=True):
-    """Asks a guard to give an order to its engine, or to another rank's."""
+    """Asks a guard to give an order to its engine, or to another rank's.
+
+    Attributes:
+        order: The order, without its layout.
+        group: The group of another rank.
+        rank: That rank.
+        layout: The layout of the order.
+    """
 
     order: expertmap.RankOrder
     group: identifiers.GroupId | None = None
     rank: int | None = None
+    layout: expertmap.PackedLayout | None = None
 
 
 class RankOrdered(_Message, frozen=True, kw_only=True):
-    """Answers how an order ended."""
+    """Answers how an order ended.
+
+    Attributes:
+        answer: How it ended.
+        lacks_layout: It was not given, as its layout has to come whole.
+    """
 
     answer: expertmap.RankAnswer
+    lacks_layout: bool = False
 
 
 class Noted(_Message, frozen=True, kw_only=True):
-    """Confirms that news was taken."""
+    """Confirms that news was taken.
+
+    Attributes:
+        is_lacking: It was not, as it refers to what the receiver lacks.
+    """
+
+    is_lacking: bool = False
 
 
 class Hello(_Message, frozen=True, kw_only=True):
--- a/src/carobslip/expertmap/__init__.py
+++ b/src/carobslip/expertmap/__init__.py
@@ -11,12 +11,18 @@
     RankUnreachable,
     SwitchEnd,
 )
+from carobslip.expertmap._count_codec import CountsWriter, read_counts
 from carobslip.expertmap._group_map import (
     ArmedMap,
     Layout,
     RankReport,
     join_ranks,
 )
+from carobslip.expertmap._layout_codec import (
+    LayoutReader,
+    LayoutWriter,
+    PackedLayout,
+)
 from carobslip.expertmap._lead import (
     GroupLead,
     LeadSettings,
@@ -61,6 +67,7 @@
     'BalanceBounds',
     'BalancePlan',
     'Coordinator',
+    'CountsWriter',
     'Decision',
     'EngineControl',
     'EngineUnavailable',
@@ -71,11 +78,14 @@
     'GroupRanks',
     'GroupSwitch',
     'Layout',
+    'LayoutReader',
+    'LayoutWriter',
     'LeadSettings',
     'MapVersion',
     'Order',
     'OrderEnd',
     'OrderKind',
+    'PackedLayout',
     'Phase',
     'Placement',
     'PlacementSettings',
@@ -99,6 +109,7 @@
     'moved_replicas',
     'place_experts',
     'rank_times',
+    'read_counts',
     'rebuild_from_scratch',
     'step_time',
 ]
--- /dev/null
+++ b/src/carobslip/expertmap/_layout_codec.py
@@ -0,0 +1,161 @@
+"""Layouts in few bytes: what changed since one that the reader has.
+
+A layout to prepare goes to every rank of a group, and differs from the one
+before in few places.
+"""
+
+import zlib
+from typing import Annotated, Any, Final
+
+import msgspec
+
+from carobslip import hashing
+from carobslip.expertmap import _group_map
+
+#: Bounds the bytes that are unpacked.
+_LAYOUT_MAX_BYTES: Final = 1_048_576
+#: Bounds the packed bytes.
+_PACKED_MAX_BYTES: Final = 262_144
+#: Layouts that a reader keeps: the one in force and one that was taken back.
+_KEPT_LAYOUTS: Final = 2
+
+#: Set, rank and its experts.
+_Change = tuple[int, int, tuple[int, ...]]
+
+
+class PackedLayout(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+):
+    """A layout, whole or as changes of another one.
+
+    Attributes:
+        digest: Digest of the layout.
+        base: Digest of the layout that the changes are made to; None when the
+            layout is whole.
+        content: Compressed bytes.
+    """
+
+    digest: int
+    base: int | None
+    content: Annotated[bytes, msgspec.Meta(max_length=_PACKED_MAX_BYTES)]
+
+
+class LayoutWriter:
+    """Packs the layouts that one coordinator gives out."""
+
+    def __init__(self) -> None:
+        self._layout: _group_map.Layout = ()
+        self._whole: PackedLayout | None = None
+        self._changes: PackedLayout | None = None
+
+    def write(
+        self,
+        layout: _group_map.Layout,
+        *,
+        is_whole: bool = False,
+    ) -> PackedLayout:
+        """Returns a layout, as changes of the one before if there was one.
+
+        Args:
+            layout: The layout.
+            is_whole: The reader lacks the one before.
+        """
+        if self._whole is None or layout != self._layout:
+            before = self._whole
+            self._whole = PackedLayout(
+                digest=_digest(layout),
+                base=None,
+                content=_pack(layout),
+            )
+            self._changes = None
+            if before is not None and _shape(layout) == _shape(self._layout):
+                self._changes = PackedLayout(
+                    digest=self._whole.digest,
+                    base=before.digest,
+                    content=_pack(_changes(self._layout, layout)),
+                )
+            self._layout = layout
+        return self._whole if is_whole else self._changes or self._whole
+
+
+class LayoutReader:
+    """Unpacks layouts, and keeps the latest ones."""
+
+    def __init__(self) -> None:
+        self._known: dict[int, _group_map.Layout] = {}
+
+    def read(self, packed: PackedLayout) -> _group_map.Layout | None:
+        """Returns a layout; None when it has to be sent as a whole."""
+        known = self._known.get(packed.digest)
+        layout = self._unpack(packed) if known is None else known
+        if layout is None or _digest(layout) != packed.digest:
+            return None
+        self._known.pop(packed.digest, None)
+        self._known[packed.digest] = layout
+        while len(self._known) > _KEPT_LAYOUTS:
+            self._known.pop(next(iter(self._known)))
+        return layout
+
+    def _unpack(self, packed: PackedLayout) -> _group_map.Layout | None:
+        if packed.base is None:
+            whole: _group_map.Layout | None = _unpack(
+                packed.content,
+                _group_map.Layout,
+            )
+            return whole
+        base = self._known.get(packed.base)
+        changes: tuple[_Change, ...] | None = _unpack(
+            packed.content,
+            tuple[_Change, ...],
+        )
+        if base is None or changes is None:
+            return None
+        return _changed(base, changes)
+
+
+def _shape(layout: _group_map.Layout) -> list[int]:
+    return [len(ranks) for ranks in layout]
+
+
+def _changes(
+    before: _group_map.Layout,
+    after: _group_map.Layout,
+) -> list[_Change]:
+    return [
+        (number, rank, experts)
+        for number, ranks in enumerate(after)
+        for rank, experts in enumerate(ranks)
+        if before[number][rank] != experts
+    ]
+
+
+def _changed(
+    layout: _group_map.Layout,
+    changes: tuple[_Change, ...],
+) -> _group_map.Layout | None:
+    made = [list(ranks) for ranks in layout]
+    for number, rank, experts in changes:
+        if not (0 <= number < len(made) and 0 <= rank < len(made[number])):
+            return None
+        made[number][rank] = experts
+    return tuple(tuple(ranks) for ranks in made)
+
+
+def _digest(layout: _group_map.Layout) -> int:
+    return hashing.digest_bytes(msgspec.msgpack.encode(layout))
+
+
+def _pack(content: Any) -> bytes:
+    return zlib.compress(msgspec.msgpack.encode(content))
+
+
+def _unpack(packed: bytes, kind: Any) -> Any:
+    unpacker = zlib.decompressobj()
+    try:
+        content = unpacker.decompress(packed, _LAYOUT_MAX_BYTES)
+        return msgspec.msgpack.decode(content, type=kind)
+    except (zlib.error, msgspec.DecodeError):
+        return None
--- a/src/carobslip/expertmap/_lead.py
+++ b/src/carobslip/expertmap/_lead.py
@@ -2,12 +2,18 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
 from carobslip import clocks, identifiers, observability
-from carobslip.expertmap import _balance, _group_map, _orders, _switch
+from carobslip.expertmap import (
+    _balance,
+    _count_codec,
+    _group_map,
+    _orders,
+    _switch,
+)
 
 #: News older than this say that a rank or its guard is in trouble.
 _NEWS_FRESH_MS: Final = 500.0
@@ -41,13 +47,16 @@
     Attributes:
         report: The engine's report.
         sequence: Counts the news of this guard; repeated ones are dropped.
-        counts: Choices by set and expert since the previous news.
+        counts: Choices by set and expert since the previous news, packed.
         address: Where the engine takes calls.
     """
 
     report: _group_map.RankReport
     sequence: int
-    counts: tuple[int, ...]
+    counts: Annotated[
+        bytes,
+        msgspec.Meta(max_length=_count_codec.COUNTS_MAX),
+    ]
     address: str
 
 
@@ -174,7 +183,8 @@
             if same_address and news.sequence == known.news.sequence:
                 return
         self._note_heard(news)
-        self._add_counts(news.counts)
+        if news.counts:
+            self._add_counts(_count_codec.read_counts(news.counts))
 
     def tick(self) -> None:
         """Looks at the group once a period; work goes on in a task."""
@@ -246,7 +256,7 @@
         news = RankNews(
             report=answer.report,
             sequence=0,
-            counts=(),
+            counts=b'',
             address=address,
         )
         self._note_heard(news)
--- a/src/carobslip/processes/__init__.py
+++ b/src/carobslip/processes/__init__.py
@@ -1,6 +1,7 @@
 """The long-running commands, put together from ports and adapters."""
 
 from carobslip.processes._entry import EntryProcess
+from carobslip.processes._entry_news import EntryNews, GroupMembers
 from carobslip.processes._forwarding_entry import (
     PROBING,
     ForwardingAdapters,
@@ -15,12 +16,14 @@
 __all__ = [
     'GROUP_PROBING',
     'PROBING',
+    'EntryNews',
     'EntryProcess',
     'ForwardingAdapters',
     'ForwardingEntry',
     'ForwardingEntrySettings',
     'GroupGuard',
     'GroupGuardSettings',
+    'GroupMembers',
     'GuardProcess',
     'run_process',
 ]
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -20,7 +20,7 @@
     targets,
 )
 from carobslip.adapters import control_nng
-from carobslip.processes import _drain
+from carobslip.processes import _drain, _entry_news
 
 #: Peers are probed this often, and given up this long after a suspicion, so
 #: that an entry which died is out of the answers on addresses in 3 seconds.
@@ -155,6 +155,7 @@
                 metrics=self.metrics,
             ),
         )
+        self._group_members = _entry_news.GroupMembers()
         self.member.on_configuration = self.forwarder.apply_configuration
         self.member.node.on(control.FetchTargets, self._answer_targets)
         self.member.node.on(control.GroupLoad, self._note_group)
@@ -378,15 +379,18 @@
         by_address = {
             record.address: record.target for record in self.book.records
         }
+        addresses = self._group_members.take(news)
+        if addresses is None:
+            return control.Noted(is_lacking=True)
         members = []
-        for rank in news.ranks:
-            target = by_address.get(rank.address)
+        for address, requests in zip(addresses, news.requests, strict=True):
+            target = by_address.get(address)
             if target is None:
                 continue
             members.append(target)
             self.loads.note_total(
                 target,
-                rank.running + rank.waiting,
+                requests,
                 sharers=self._count_entries(),
             )
             if not news.is_open:
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -25,7 +25,7 @@
     observability,
 )
 from carobslip.adapters import control_nng
-from carobslip.processes import _group_peers
+from carobslip.processes import _entry_news, _group_peers
 
 #: Period of the guard's work. Large groups take longer ones, since their
 #: coordinator hears of every rank over a narrow link.
@@ -38,6 +38,8 @@
 _PUSH_TIMEOUT_MS: Final = 100.0
 #: Entries hear of the group's load every so many periods.
 _LOAD_PERIODS: Final = 2
+#: Ranks of large groups report choices of experts every so many periods.
+_COUNT_PERIODS: Final = 2
 #: Guards probe less often than entries: callers do not depend on them.
 PROBING: Final = membership.ProberSettings(
     period_ms=500,
@@ -90,6 +92,9 @@
         engine_at: Returns the control of the engine at an address.
         metrics: Takes counts and times.
         on_started: Called inside the running loop.
+        transport: How control messages travel.
+        clock: Monotonic and wall time.
+        generator: Chooses peers.
     """
 
     def __init__(
@@ -99,8 +104,14 @@
         engine_at: Callable[[str], expertmap.EngineControl],
         metrics: observability.Metrics,
         on_started: Callable[['GroupGuard'], None] | None = None,
+        transport: control.Transport | None = None,
+        clock: clocks.Clock | None = None,
+        generator: random.Random | None = None,
     ) -> None:
         super().__init__()
+        self._transport = transport
+        self._clock = clock or clocks.SystemClock()
+        self._random = generator or random.Random()
         self._on_started = on_started
         self._own = own
         self._engine_at = engine_at
@@ -108,6 +119,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._sequence = 0
         self._counts: expertmap.ExpertCounts | None = None
+        self._counts_writer = expertmap.CountsWriter()
+        self._layouts = expertmap.LayoutReader()
         self._lead: expertmap.GroupLead | None = None
         self._silences: dict[identifiers.InstanceId, int] = {}
         self._coordinator = ''
@@ -119,7 +132,6 @@
         """Joins the fleet, then follows the engine."""
         own = self._own
         control_nng.limit_threads()
-        self._clock = clocks.SystemClock()
         self.log = observability.EventLog(instance=own.instance)
         self._engine = self._engine_at(own.engine_address)
         self.rank_guard = expertmap.RankGuard(engine=self._engine)
@@ -133,11 +145,11 @@
                 service=own.service,
                 target=identifiers.TargetId(own.engine_address),
             ),
-            transport=control_nng.NngTransport(),
+            transport=self._transport or control_nng.NngTransport(),
             platform=_NoPlatform(),
             clock=self._clock,
             seeds=own.seeds,
-            generator=random.Random(),
+            generator=self._random,
             log=self.log,
             metrics=self._metrics,
             times=fleet.FleetTimes(
@@ -154,6 +166,10 @@
             clock=self._clock,
             log=self.log,
         )
+        self._entry_news = _entry_news.EntryNews(
+            node=self._member.node,
+            metrics=self._metrics,
+        )
         self._member.node.on(control.RankNewsPush, self._on_news)
         self._member.node.on(control.OrderRank, self._on_order)
         self.run_task(self._run())
@@ -171,6 +187,7 @@
             task.cancel()
         if self._lead is not None:
             await self._lead.close()
+        self._entry_news.close()
         await self._member.announce_leaving()
         await self._member.close()
 
@@ -228,7 +245,7 @@
         news = expertmap.RankNews(
             report=report,
             sequence=self._next_sequence(),
-            counts=await self._new_counts() if report.is_open else (),
+            counts=await self._due_counts(report),
             address=self._own.engine_address,
         )
         coordinator = self._choose_coordinator(report)
@@ -248,19 +265,27 @@
                 msgspec.structs.replace(record, group=group, rank=rank),
             )
 
-    async def _new_counts(self) -> tuple[int, ...]:
+    async def _due_counts(self, report: expertmap.RankReport) -> bytes:
+        """Returns the choices if this is the time to report them."""
+        pause = _COUNT_PERIODS if report.size > _PERIOD_RANKS else 1
+        is_time = (self._periods + report.rank) % pause == 0
+        return await self._new_counts() if report.is_open and is_time else b''
+
+    async def _new_counts(self) -> bytes:
         """Returns the choices since the last call."""
         before = self._counts
         now = await self._engine.counts()
         self._counts = now
         if before is None or len(before.counts) != len(now.counts):
-            return ()
+            return b''
         grown = [
             new - old
             for old, new in zip(before.counts, now.counts, strict=True)
         ]
         # Counts of an engine that has started anew begin at zero.
-        return () if min(grown, default=0) < 0 else tuple(grown)
+        if min(grown, default=0) < 0:
+            return b''
+        return self._counts_writer.write(grown)
 
     def _next_sequence(self) -> int:
         self._sequence += 1
@@ -320,7 +345,7 @@
         lead.hear(news)
         lead.tick()
         if self._periods % _LOAD_PERIODS == 0:
-            await self._tell_entries(lead)
+            self._tell_entries(lead)
 
     def _lead_of(self, report: expertmap.RankReport) -> expertmap.GroupLead:
         lead = self._lead
@@ -359,39 +384,15 @@
                 return service.engine
         return None
 
-    async def _tell_entries(self, lead: expertmap.GroupLead) -> None:
-        news = control.GroupLoad(
-            group=lead.group,
-            is_open=not lead.is_broken,
-            ranks=tuple(
-                control.RankLoad(
-                    address=address,
-                    running=running,
-                    waiting=waiting,
-                )
-                for address, running, waiting in lead.loads()
+    def _tell_entries(self, lead: expertmap.GroupLead) -> None:
+        self._entry_news.tell(
+            self._member.fleet.entries(),
+            _entry_news.load_message(
+                lead.group,
+                lead.loads(),
+                is_open=not lead.is_broken,
             ),
         )
-        entries = self._member.fleet.entries()
-        await asyncio.gather(
-            *(self._tell_entry(entry, news) for entry in entries),
-        )
-
-    async def _tell_entry(
-        self,
-        entry: directory.InstanceRecord,
-        news: control.GroupLoad,
-    ) -> None:
-        try:
-            await self._member.node.ask(
-                entry.control_address,
-                news,
-                answer=control.Noted,
-                timeout_ms=_PUSH_TIMEOUT_MS,
-            )
-        except control.PeerUnreachable:
-            # Membership finds out whether the entry is gone.
-            self._metrics.count('entry_silent')
 
     async def _on_news(
         self,
@@ -408,10 +409,19 @@
         request: control.OrderRank,
         origin: control.Origin,
     ) -> control.RankOrdered:
+        order = request.order
+        if request.layout is not None:
+            layout = self._layouts.read(request.layout)
+            if layout is None:
+                return control.RankOrdered(
+                    answer=expertmap.RankAnswer(end=expertmap.OrderEnd.LOST),
+                    lacks_layout=True,
+                )
+            order = msgspec.structs.replace(order, layout=layout)
         if request.group is None or request.rank is None:
-            answer = await self.rank_guard.order(request.order)
+            answer = await self.rank_guard.order(order)
         else:
-            answer = await self._arm_lead(request.group, request.order)
+            answer = await self._arm_lead(request.group, order)
         return control.RankOrdered(answer=answer)
 
     async def _arm_lead(
--- a/src/carobslip/processes/_group_peers.py
+++ b/src/carobslip/processes/_group_peers.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Final
 
+import msgspec
+
 from carobslip import (
     clocks,
     control,
@@ -49,6 +51,7 @@
         self._clock = clock
         self._log = log
         self._passed_over_ms: dict[identifiers.InstanceId, float] = {}
+        self._layouts = expertmap.LayoutWriter()
 
     def usable(
         self,
@@ -115,12 +118,14 @@
         if order.kind is expertmap.OrderKind.PREPARE:
             timeout_ms += _COPY_TIMES * self._rank_guard.expert_copy_ms
         try:
-            answer = await self._member.node.ask(
-                peer.control_address,
-                control.OrderRank(order=order),
-                answer=control.RankOrdered,
-                timeout_ms=timeout_ms,
-            )
+            answer = await self._order_guard(peer, order, timeout_ms)
+            if answer.lacks_layout:
+                answer = await self._order_guard(
+                    peer,
+                    order,
+                    timeout_ms,
+                    is_whole=True,
+                )
         except control.PeerUnreachable as fault:
             self.pass_over(peer, str(fault))
             return await self._order_directly(peer, order)
@@ -175,6 +180,27 @@
                 return record
         return None
 
+    async def _order_guard(
+        self,
+        peer: directory.InstanceRecord,
+        order: expertmap.RankOrder,
+        timeout_ms: float,
+        *,
+        is_whole: bool = False,
+    ) -> control.RankOrdered:
+        layout = None
+        if order.layout:
+            layout = self._layouts.write(order.layout, is_whole=is_whole)
+        return await self._member.node.ask(
+            peer.control_address,
+            control.OrderRank(
+                order=msgspec.structs.replace(order, layout=()),
+                layout=layout,
+            ),
+            answer=control.RankOrdered,
+            timeout_ms=timeout_ms,
+        )
+
     async def _order_directly(
         self,
         peer: directory.InstanceRecord,
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -76,7 +76,7 @@
 
 
 UNDECODABLE = {
-    'another protocol': control.encode(_envelope(protocol=3)),
+    'another protocol': control.encode(_envelope(protocol=4)),
     'truncated': control.encode(_envelope())[:-3],
     'too long': b'\x00' * (control.MESSAGE_MAX_BYTES + 1),
     'wrong type': control.encode(_envelope(configuration_version='one')),
--- a/tests/test_group_lead.py
+++ b/tests/test_group_lead.py
@@ -73,7 +73,7 @@
                     expertmap.RankNews(
                         report=self.ranks.group.engines[rank].report_now(),
                         sequence=self.sequence,
-                        counts=(),
+                        counts=b'',
                         address=f'engine-{rank}',
                     ),
                 )
--- /dev/null
+++ b/tests/test_group_traffic.py
@@ -0,0 +1,294 @@
+"""Control traffic of the guard that coordinates a large group."""
+
+import asyncio
+import itertools
+import random
+
+import pytest
+
+from carobslip import (
+    clocks,
+    control,
+    directory,
+    expertmap,
+    fleet,
+    identifiers,
+    observability,
+    processes,
+)
+from tests.fakes import cluster as clusters
+from tests.fakes import engine_group
+from tests.fakes import host as hosts
+from tests.fakes import network as networks
+
+RANKS = 32
+ENTRIES = 39
+SETS = 12
+EXPERTS = 128
+PLACES = 5
+#: A machine with an engine has a link of 4 Mbit/s.
+LINK_BYTES_PER_S = 500_000
+#: Control traffic takes at most this part of it; requests need the rest.
+SHARE_MAX = 0.25
+#: What is asked of experts shifts after this time.
+SHIFT_S = 3.5
+#: Choices of an expert at one rank in a second, on average.
+CHOICES_PER_S = 500
+
+DOCUMENT = {
+    'kind': 'configuration',
+    'version': 1,
+    'forwarding': {
+        'operators_version': 1,
+        'routes': [],
+        'services': [
+            {
+                'service': 'drafting',
+                'engine': {
+                    'slots': 5,
+                    'expert_sets': SETS,
+                    'experts_per_set': EXPERTS,
+                    'places_per_rank': PLACES,
+                    'new_experts_max': 1,
+                    'expert_copy_ms': 20,
+                },
+            },
+        ],
+    },
+}
+
+
+class Engine(engine_group.FakeControl):
+    """A rank whose requests choose experts, some far more often."""
+
+    def __init__(self, group, rank):
+        super().__init__(group, rank, is_remote=False)
+        self.rank = rank
+        self.random = random.Random(rank)
+        self.chosen = [0] * (SETS * EXPERTS)
+        self.until_s = asyncio.get_running_loop().time()
+
+    async def counts(self):
+        now_s = asyncio.get_running_loop().time()
+        spent_s, self.until_s = now_s - self.until_s, now_s
+        popular = popularity(int(now_s / SHIFT_S))
+        self.chosen = [
+            before + round(share * spent_s * self.random.uniform(0.8, 1.2))
+            for before, share in zip(self.chosen, popular, strict=True)
+        ]
+        return expertmap.ExpertCounts(epoch=1, counts=tuple(self.chosen))
+
+    async def experts(self):
+        layout = self._engine.map[1]
+        if layout is None:
+            held = tuple(range(self.rank, EXPERTS, RANKS))
+            return (held,) * SETS
+        return tuple(ranks[self.rank] for ranks in layout)
+
+
+def popularity(era):
+    """Returns choices a second by set and expert."""
+    generator = random.Random(era)
+    weights = [generator.random() ** -0.6 for _ in range(SETS * EXPERTS)]
+    mean = sum(weights) / len(weights)
+    return [CHOICES_PER_S * weight / mean for weight in weights]
+
+
+class Scene:
+    """One group, its guards and all entries."""
+
+    def __init__(self):
+        self.network = networks.Network(random.Random(1))
+        self.platform = clusters.FakePlatform()
+        self.platform.publish(DOCUMENT)
+        self.group = engine_group.FakeGroup(RANKS, seed=1)
+        self.engines = {
+            f'side-{rank}:80': Engine(self.group, rank) for rank in range(RANKS)
+        }
+        self.hosts = {}
+        self.guards = []
+        self.metrics = []
+        self.told = {}
+
+    async def start(self):
+        self.group_run = asyncio.ensure_future(self.group.run())
+        for number in range(ENTRIES):
+            await self.add_entry(f'entry-{number}')
+        for rank in range(RANKS):
+            await self.add_guard(rank)
+
+    async def add_entry(self, name):
+        host = self.hosts[name] = hosts.Host(name)
+        member = fleet.FleetMember(
+            record=directory.InstanceRecord(
+                instance=identifiers.InstanceId(name),
+                role=directory.Role.ENTRY,
+                data_centre=identifiers.DataCentreId('leeds'),
+                http_address=f'{name}:80',
+                control_address=f'{name}:70',
+            ),
+            transport=networks.FakeTransport(self.network, host),
+            platform=self.platform,
+            clock=clocks.LoopClock(epoch_ms=clusters.EPOCH_MS),
+            seeds=[f'entry-{number}:70' for number in range(3)],
+            generator=random.Random(name),
+            log=clusters.SilentLog(),
+            times=fleet.FleetTimes(
+                reader_roles=frozenset((directory.Role.ENTRY,)),
+                lists_instances=False,
+                probing=processes.PROBING,
+            ),
+        )
+        known = processes.GroupMembers()
+
+        async def note_load(news, origin):
+            members = known.take(news)
+            if members is None:
+                return control.Noted(is_lacking=True)
+            loads = dict(zip(members, news.requests, strict=True))
+            self.told.setdefault(name, []).append((self.now_s(), loads))
+            return control.Noted()
+
+        member.node.on(control.GroupLoad, note_load)
+        host.spawn(member.join())
+
+    async def add_guard(self, rank):
+        name = f'side-{rank}'
+        host = self.hosts[name] = hosts.Host(name)
+        self.network.links[name] = networks.Link(LINK_BYTES_PER_S)
+        guard = processes.GroupGuard(
+            own=processes.GroupGuardSettings(
+                instance=identifiers.InstanceId(name),
+                data_centre=identifiers.DataCentreId('leeds'),
+                control_address=f'{name}:70',
+                engine_address=f'{name}:80',
+                service=identifiers.ServiceId('drafting'),
+                seeds=tuple(f'entry-{number}:70' for number in range(3)),
+            ),
+            engine_at=self.engines.__getitem__,
+            metrics=observability.NoMetrics(),
+            transport=networks.FakeTransport(self.network, host),
+            clock=clocks.LoopClock(epoch_ms=clusters.EPOCH_MS),
+            generator=random.Random(name),
+        )
+        self.guards.append(guard)
+        await host.spawn(guard.start())
+
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
+    def carried_bytes(self):
+        return self.network.links['side-0'].carried_bytes
+
+    @property
+    def map_version(self):
+        return self.group.engines[0].map[0]
+
+
+@hosts.virtual
+async def test_coordinator_of_a_large_group_leaves_its_link_to_requests():
+    scene = Scene()
+    await scene.start()
+    await asyncio.sleep(15)
+    before, version = scene.carried_bytes(), scene.map_version
+    await asyncio.sleep(20)
+    bytes_per_s = (scene.carried_bytes() - before) / 20
+    assert scene.map_version > version
+    assert bytes_per_s <= SHARE_MAX * LINK_BYTES_PER_S
+
+
+@pytest.mark.parametrize('entry', ['entry-5', 'entry-38'])
+@hosts.virtual
+async def test_an_entry_that_starts_anew_hears_of_loads_at_once(entry):
+    scene = Scene()
+    await scene.start()
+    await asyncio.sleep(8)
+    scene.hosts[entry].kill()
+    await asyncio.sleep(0.3)
+    scene.told.pop(entry)
+    await scene.add_entry(entry)
+    await asyncio.sleep(3)
+    engines = {f'side-{rank}:80' for rank in range(RANKS)}
+    assert set(scene.told[entry][-1][1]) == engines
+
+
+@hosts.virtual
+async def test_a_silent_entry_delays_neither_the_group_nor_other_entries():
+    scene = Scene()
+    await scene.start()
+    await asyncio.sleep(8)
+    lead = scene.guards[0]
+    periods = lead._periods
+    await asyncio.sleep(5)
+    undisturbed = lead._periods - periods
+    scene.network.cut('side-0', 'entry-7')
+    periods = lead._periods
+    await asyncio.sleep(5)
+    assert lead._periods - periods >= undisturbed - 1
+    times_s = [told_s for told_s, _loads in scene.told['entry-8'][-4:]]
+    pauses_s = [after - then for then, after in itertools.pairwise(times_s)]
+    assert max(pauses_s) < 0.6
+
+
+def test_a_sum_of_reports_loses_no_choice():
+    generator = random.Random(1)
+    writer = expertmap.CountsWriter()
+    chosen, heard = [0] * 200, [0] * 200
+    for _report in range(50):
+        counts = [int(generator.random() ** -2) for _one in chosen]
+        packed = expertmap.read_counts(writer.write(counts))
+        chosen = [old + new for old, new in zip(chosen, counts, strict=True)]
+        heard = [old + new for old, new in zip(heard, packed, strict=True)]
+    for _rest in range(50):
+        rest = expertmap.read_counts(writer.write([0] * 200)) or [0] * 200
+        heard = [old + new for old, new in zip(heard, rest, strict=True)]
+    assert heard == chosen
+
+
+@pytest.mark.parametrize(
+    'packed',
+    [b'', b'short', bytes(9), bytes(8) + b'\xff' * 40],
+)
+def test_malformed_counts_are_none(packed):
+    assert expertmap.read_counts(packed) == []
+
+
+def layout_of(number):
+    """Returns a layout whose first rank differs by number."""
+    sets = [
+        [[rank, rank + RANKS] for rank in range(RANKS)] for _one in range(SETS)
+    ]
+    sets[0][0] = [0, RANKS, number + 2 * RANKS]
+    return tuple(tuple(tuple(experts) for experts in ranks) for ranks in sets)
+
+
+def test_layouts_arrive_whole_whatever_was_lost():
+    generator = random.Random(1)
+    writer = expertmap.LayoutWriter()
+    readers = [expertmap.LayoutReader() for _rank in range(4)]
+    for number in range(40):
+        layout = layout_of(generator.randrange(30))
+        for reader in readers:
+            if generator.random() < 0.3:
+                continue
+            read = reader.read(writer.write(layout))
+            if read is None:
+                read = reader.read(writer.write(layout, is_whole=True))
+            assert read == layout
+        if number == 20:
+            readers[0] = expertmap.LayoutReader()
+
+
+def test_a_changed_layout_takes_few_bytes():
+    writer = expertmap.LayoutWriter()
+    writer.write(layout_of(1))
+    changed = writer.write(layout_of(2))
+    assert changed.base is not None
+    assert len(changed.content) < 100
+
+
+@pytest.mark.parametrize('content', [b'', b'none', bytes(50)])
+@pytest.mark.parametrize('base', [None, 7])
+def test_a_malformed_layout_is_asked_for_again(content, base):
+    packed = expertmap.PackedLayout(digest=1, base=base, content=content)
+    assert expertmap.LayoutReader().read(packed) is None
