Repeats: the bound holds across restarts and without word of others

Cause, shown by many simulated entries in one test: a process that has started again forgets what it spent within the window, and uses its part anew; as long as it knows of no other entry, its part of the fixed share is all of it; those who leave or are not heard of any more take no part in the division, but have spent theirs. A repeat also counted from when it was paid for, up to 1.6 s before it arrived.

Ruled out: arrivals for which nothing was paid. Each arrival beyond the first of a request is paid for before it is made, rejected ones and moves included; only where no connection stood, it is free.

A repeat counts from its arrival.

--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -103,6 +103,8 @@
             calls=calls,
         )
         work.sent += 1
+        if work.arrivals:
+            self._budget.note_arrival(work)
         work.arrivals += 1
         calls.append(call)
         call.task = asyncio.ensure_future(self._call(work, call))
--- a/src/carobslip/forwarding/_work.py
+++ b/src/carobslip/forwarding/_work.py
@@ -16,6 +16,7 @@
         begun: The caller has the head of an answer.
         moves: Second targets that were tried while the first stood still.
         paid: Arrivals beyond the first that the budget has granted.
+        paid_ms: When the last of them was paid for, or came about.
         progress_ms: When the caller last got something, or had sent it all.
         last_event: The last event that the caller has.
         lost_at: Targets whose answer was lost.
@@ -44,6 +45,7 @@
         self.begun = False
         self.moves = 0
         self.paid = 0
+        self.paid_ms: float | None = None
         self.progress_ms = request.arrived_ms
         self.waited_ms = 0.0
         self.first_event_ms: float | None = None
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -134,8 +134,9 @@
         )
         self._budget = forwarding.RepeatBudget(
             bounds=own.repeats,
-            entries=self._count_entries,
+            entries=self._known_entries,
             clock=self.clock,
+            started_ms=self.clock.now_ms(),
         )
         self.forwarder = forwarding.Forwarder(
             holder=self.member.holder,
@@ -254,6 +255,9 @@
         chosen = near if len(near) > 1 else [*near, *far]
         return [record.http_address for record in chosen[:limit]]
 
+    def _known_entries(self) -> list[identifiers.InstanceId]:
+        return [record.instance for record in self.member.fleet.entries()]
+
     def _count_entries(self) -> int:
         return len(self.member.fleet.entries())
 
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -176,9 +176,21 @@
 
 
 class Entry:
-    """A forwarder with its surroundings, on the loop's clock."""
+    """A forwarder with its surroundings, on the loop's clock.
 
-    def __init__(self, script=(), *, held=None, out=(), count=2, slots=4):
+    ``age_s`` tells since when its process runs.
+    """
+
+    def __init__(
+        self,
+        script=(),
+        *,
+        held=None,
+        out=(),
+        count=2,
+        slots=4,
+        age_s=60,
+    ):
         self.clock = clocks.LoopClock(epoch_ms=0)
         self.log = observability.EventLog()
         self.holder = configuration.Holder(clock=self.clock)
@@ -190,11 +202,13 @@
             data_centre=identifiers.DataCentreId('east'),
         )
         self.entries = 1
+        self.known = lambda: range(self.entries)
         self.is_current = True
         self.budget = forwarding.RepeatBudget(
             bounds=forwarding.RepeatBounds(ratio=0.2, extra=20, window_s=10),
-            entries=lambda: self.entries,
+            entries=lambda: self.known(),
             clock=self.clock,
+            started_ms=self.clock.now_ms() - age_s * 1000,
         )
         self.forwarder = forwarding.Forwarder(
             holder=self.holder,
@@ -265,6 +279,12 @@
         return outcome, caller
 
 
+def work(path='/look/x'):
+    """Returns a request that has a route and a service."""
+    entry = Entry(held=table())
+    return entry.forwarder._prepare(entry.request(path), FakeCaller())
+
+
 def record(name, service, **changes):
     """Returns a target's entry in the list."""
     content = {
