Membership: news that went to a silent peer is spread again

Seen: with six of seven entries killed, all seeds among them, some guard still named a dead entry six seconds later: 23 of 300 seeds of test_the_dead_are_out_of_the_answers_within_six_seconds. The eight seeds of the test were not among them.

Cause: a piece of news is spread a fixed number of times, and sending it to a peer that never answered counted. With many dead, much of it went to them.

Change: news of an exchange without an answer is taken back and sent once more.

Test: the same one with 32 seeds instead of 8. Before, seeds 12 and 24 fail with six killed; after, none. Over 300 seeds with six killed: 23 before, 1 after (seed 57). That one is open.

--- a/src/carobslip/membership/_prober.py
+++ b/src/carobslip/membership/_prober.py
@@ -219,6 +219,7 @@
                 timeout_ms=timeout_ms,
             )
         except control.PeerUnreachable:
+            self.table.spread_again(request.news)
             return False
         self._merge_all(answer.news)
         return True
--- a/src/carobslip/membership/_table.py
+++ b/src/carobslip/membership/_table.py
@@ -118,6 +118,13 @@
                 self._to_spread.pop(name)
         return tuple(self._members[name] for name in names)
 
+    def spread_again(self, news: tuple[control.MemberUpdate, ...]) -> None:
+        """Takes back news that may not have arrived."""
+        for update in news:
+            name = update.record.instance
+            if self._members.get(name) == update:
+                self._to_spread[name] = self._to_spread.get(name, 0) + 1
+
     def _refute(self, update: control.MemberUpdate) -> bool:
         # Somebody believes that this process is gone: a higher counter
         # overrides that belief everywhere.
--- a/tests/test_unlisted_fleet.py
+++ b/tests/test_unlisted_fleet.py
@@ -82,7 +82,7 @@
         assert len(scene.members[name].table) == 60
 
 
-@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('seed', range(32))
 @pytest.mark.parametrize('killed', [1, 3, 6])
 @hosts.virtual
 async def test_the_dead_are_out_of_the_answers_within_six_seconds(killed, seed):
