Membership: answers to asking members name only whom they lack

Seen: every process asks a seed for members each four seconds and is told of up to 56, about 10 KB, although it knows them: 20 KB in 5 s at each guard, and the larger part of what a settled fleet sends between data centres.

Change: who asks sends 64 bytes of digests of what it believes, in 16 parts by name; the answer draws from members of the parts that differ. Without digests, or with malformed ones, all members count as unknown. What the asker lacks is always in a part that differs.

--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -12,6 +12,7 @@
 
 _NAME_MAX_CHARS = 128
 _MEMBERS_MAX = 64
+_DIGESTS_MAX_BYTES = 64
 _RANKS_MAX = 1024
 _TEXT_MAX_CHARS = 1_048_576
 
@@ -83,10 +84,12 @@
     Attributes:
         news: What the sender has heard about members.
         joining: The sender asks for members that it may not know.
+        known: Digests of what it knows, if it asks.
     """
 
     news: News = ()
     joining: bool = False
+    known: Annotated[bytes, msgspec.Meta(max_length=_DIGESTS_MAX_BYTES)] = b''
 
 
 class ProbeRequest(_Message, frozen=True, kw_only=True):
--- a/src/carobslip/membership/_prober.py
+++ b/src/carobslip/membership/_prober.py
@@ -128,6 +128,7 @@
             control.Probe(
                 news=(self.table.own, *self.table.take_news()),
                 joining=True,
+                known=self.table.digests(),
             ),
             self._settings.timeout_ms,
         )
@@ -263,9 +264,9 @@
         self._merge_all(request.news)
         news = self._answer_news(origin)
         if request.joining:
-            known = list(self.table)
-            count = min(_JOIN_NEWS_MAX, len(known))
-            news = (*news, *self._random.sample(known, count))
+            unknown = self.table.differing(request.known)
+            count = min(_JOIN_NEWS_MAX, len(unknown))
+            news = (*news, *self._random.sample(unknown, count))
         return control.ProbeAcknowledged(news=news)
 
     async def _on_probe_request(
--- a/src/carobslip/membership/_table.py
+++ b/src/carobslip/membership/_table.py
@@ -7,10 +7,13 @@
 
 import msgspec
 
-from carobslip import control, directory, identifiers
+from carobslip import control, directory, hashing, identifiers
 
 #: News items in one message.
 NEWS_MAX: Final = 6
+#: Parts of a table that are compared by digest, and bytes of each digest.
+_PARTS: Final = 16
+_DIGEST_BYTES: Final = 4
 
 _PRECEDENCE: Final = (
     control.MemberState.ALIVE,
@@ -106,6 +109,33 @@
         """Lets the others know that this process is about to stop."""
         self._renew_own(self.own.counter + 1, control.MemberState.LEAVING)
 
+    def digests(self) -> bytes:
+        """Returns digests of what is believed, one for each part."""
+        digests = [0] * _PARTS
+        for update in self._members.values():
+            content = msgspec.msgpack.encode(update)
+            digests[_part_of(update)] ^= hashing.digest_bytes(content)
+        mask = (1 << 8 * _DIGEST_BYTES) - 1
+        return b''.join(
+            (digest & mask).to_bytes(_DIGEST_BYTES, 'big') for digest in digests
+        )
+
+    def differing(self, theirs: bytes) -> list[control.MemberUpdate]:
+        """Returns members in the parts that differ from another table.
+
+        Args:
+            theirs: Digests of the other table; all members differ from none.
+        """
+        own = self.digests()
+        if len(theirs) != len(own):
+            return list(self)
+        differs = [
+            own[begin : begin + _DIGEST_BYTES]
+            != theirs[begin : begin + _DIGEST_BYTES]
+            for begin in range(0, len(own), _DIGEST_BYTES)
+        ]
+        return [update for update in self if differs[_part_of(update)]]
+
     def take_news(self) -> tuple[control.MemberUpdate, ...]:
         """Returns news for one message, the least spread first."""
         names = sorted(
@@ -172,6 +202,10 @@
         self._to_spread[update.record.instance] = spread_times
 
 
+def _part_of(update: control.MemberUpdate) -> int:
+    return hashing.digest_names(update.record.instance) % _PARTS
+
+
 def _precedence(
     update: control.MemberUpdate,
 ) -> tuple[identifiers.Incarnation, int, int]:
--- a/tests/test_unlisted_fleet.py
+++ b/tests/test_unlisted_fleet.py
@@ -11,6 +11,8 @@
 from tests.fakes import network as networks
 
 READERS = frozenset((directory.Role.ENTRY,))
+#: Control traffic of one process while nothing changes in the fleet.
+PROBING_BYTES_PER_S = 2000
 
 
 class Unlisted:
@@ -208,3 +210,34 @@
     for name in names:
         known = {member.record.instance for member in scene.members[name].table}
         assert set(names) <= known
+
+
+@hosts.virtual
+async def test_answers_to_those_who_know_all_members_name_none():
+    scene = Unlisted(entries=30, guards=30)
+    await scene.start()
+    await asyncio.sleep(20)
+    asking = scene.members['guard-3'].table
+    asked = scene.members['entry-1'].table
+    assert not asked.differing(asking.digests())
+    before = scene.network.control_bytes
+    await asyncio.sleep(20)
+    a_second = (scene.network.control_bytes - before) / 20 / len(scene.members)
+    assert a_second <= PROBING_BYTES_PER_S
+
+
+@hosts.virtual
+async def test_a_member_that_another_one_lacks_is_named():
+    scene = Unlisted(entries=5, guards=30)
+    await scene.start()
+    await asyncio.sleep(20)
+    asking = scene.members['guard-3'].table
+    asked = scene.members['entry-1'].table
+    asking.forget('guard-7')
+    named = {
+        update.record.instance for update in asked.differing(asking.digests())
+    }
+    assert 'guard-7' in named
+    assert len(named) < 15
+    assert len(asked.differing(b'')) == len(asked)
+    assert len(asked.differing(b'short')) == len(asked)
