--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -13,6 +13,7 @@
 _NAME_MAX_CHARS = 128
 _MEMBERS_MAX = 64
 _PACKAGE_MAX_BYTES = 4_194_304
+_DIGESTS_MAX_BYTES = 64
 _RANKS_MAX = 1024
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_NAME_MAX_CHARS)]
@@ -83,10 +84,12 @@
     Attributes:
         news: What the sender has heard about members.
         joining: The sender asks for members that it may not know.
+        known: Digests of what it knows, if it asks.
     """
 
     news: News = ()
     joining: bool = False
+    known: Annotated[bytes, msgspec.Meta(max_length=_DIGESTS_MAX_BYTES)] = b''
 
 
 class ProbeRequest(_Message, frozen=True, kw_only=True):
