--- a/src/carobslip/forwarding/__init__.py
+++ b/src/carobslip/forwarding/__init__.py
@@ -6,6 +6,7 @@
 from carobslip.forwarding._loads import LoadBook
 from carobslip.forwarding._ports import (
     Caller,
+    CallProgress,
     ForwardCall,
     TargetAnswer,
     TargetLoad,
@@ -19,6 +20,7 @@
 __all__ = [
     'Admission',
     'AnswerHead',
+    'CallProgress',
     'Caller',
     'Demand',
     'EventSplitter',
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -106,6 +106,7 @@
         if work.arrivals:
             self._budget.note_arrival(work)
         work.arrivals += 1
+        work.last_call = call.progress
         calls.append(call)
         call.task = asyncio.ensure_future(self._call(work, call))
 
@@ -211,6 +212,7 @@
             fault=outcome.explanation,
             took_ms=round(took_ms),
             list_revision=self._book.revision,
+            **call.progress.fields(self._tools.clock.now_ms()),
         )
         return outcome
 
@@ -233,10 +235,11 @@
             target=place.target,
             address=place.address,
             team=None if work.team is None else work.team.team,
-            time_left_ms=work.deadline_ms - self._tools.clock.now_ms(),
+            time_left_ms=work.deadline_ms - now_ms,
             last_event=work.resume_after,
             may_reuse_connection=work.route.may_repeat
             and work.request.method == 'POST',
+            progress=call.progress,
         )
         try:
             async with self._port.call(sent) as answer:
--- a/src/carobslip/forwarding/_calls.py
+++ b/src/carobslip/forwarding/_calls.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from carobslip import targets, verdicts
+from carobslip.forwarding import _ports
 
 
 class Call:
@@ -30,6 +31,7 @@
         self.place = place
         self.started_ms = started_ms
         self.task: asyncio.Future[verdicts.Outcome] | None = None
+        self.progress = _ports.CallProgress(started_ms=started_ms)
         self.is_taken_back = False
         self.is_passing_on = False
         self._calls = calls
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -177,7 +177,9 @@
                 request=request.request_id,
                 route=work.route.name,
                 sent=work.sent,
+                waited_ms=round(work.waited_ms),
                 after_ms=round(self._clock.now_ms() - request.arrived_ms),
+                **self._progress_of(work),
             )
             raise
         finally:
@@ -185,6 +187,11 @@
         self._note_end(work, outcome)
         return outcome
 
+    def _progress_of(self, work: _work.Work) -> dict[str, float | int | None]:
+        if work.last_call is None:
+            return {}
+        return work.last_call.fields(self._clock.now_ms())
+
     def note_refused(
         self,
         request_id: identifiers.RequestId,
@@ -264,9 +271,10 @@
         work: _work.Work,
     ) -> targets.TargetRecord | _admission.Refusal:
         asked_ms = self._clock.now_ms()
-        admitted = await self.admission.admit(self._demand_of(work))
-        work.waited_ms += self._clock.now_ms() - asked_ms
-        return admitted
+        try:
+            return await self.admission.admit(self._demand_of(work))
+        finally:
+            work.waited_ms += self._clock.now_ms() - asked_ms
 
     def _may_try_again(self, work: _work.Work) -> bool:
         if work.may_have_run and not work.route.may_repeat:
--- a/src/carobslip/forwarding/_ports.py
+++ b/src/carobslip/forwarding/_ports.py
@@ -26,6 +26,31 @@
         """Ends a stream as complete."""
 
 
+class CallProgress(msgspec.Struct, kw_only=True):
+    """How far a call came, for logs.
+
+    Attributes:
+        started_ms: When its place had been taken.
+        connect_ms: Time until it had a connection; None before that. Close to
+            0 for a kept one.
+        unconfirmed_bytes: What the target's machine had not confirmed when the
+            call was given up; None for other ends.
+    """
+
+    started_ms: float = 0
+    connect_ms: float | None = None
+    unconfirmed_bytes: int | None = None
+
+    def fields(self, now_ms: float) -> dict[str, float | int | None]:
+        """Returns how far the call came, for a log line."""
+        connect_ms = self.connect_ms
+        return {
+            'call_ms': round(now_ms - self.started_ms),
+            'connect_ms': None if connect_ms is None else round(connect_ms, 1),
+            'unconfirmed_bytes': self.unconfirmed_bytes,
+        }
+
+
 class ForwardCall(msgspec.Struct, frozen=True, kw_only=True):
     """One try of a request at one target.
 
@@ -37,6 +62,7 @@
         time_left_ms: The target stops its work then.
         last_event: The stream goes on after this event; None from the start.
         may_reuse_connection: A kept connection may carry the call.
+        progress: Is told how far the call came.
     """
 
     request: _request.ForwardRequest
@@ -46,6 +72,7 @@
     time_left_ms: float
     last_event: str | None
     may_reuse_connection: bool
+    progress: CallProgress = msgspec.field(default_factory=CallProgress)
 
 
 class TargetLoad(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/carobslip/forwarding/_work.py
+++ b/src/carobslip/forwarding/_work.py
@@ -18,6 +18,8 @@
         paid: Arrivals beyond the first that the budget has granted.
         paid_ms: When the last of them was paid for, or came about.
         progress_ms: When the caller last got something, or had sent it all.
+        waited_ms: Time that it has waited for places.
+        last_call: How far the last call came; None before the first one.
         last_event: The last event that the caller has.
         lost_at: Targets whose answer was lost.
         rejected_by: Targets that have just rejected it.
@@ -48,6 +50,7 @@
         self.paid_ms: float | None = None
         self.progress_ms = request.arrived_ms
         self.waited_ms = 0.0
+        self.last_call: _ports.CallProgress | None = None
         self.first_event_ms: float | None = None
         self.last_event: int | None = None
         self.lost_at: set[identifiers.TargetId] = set()
