--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -1,10 +1,12 @@
 """The adapter to the users' platform, against stand-ins of it."""
 
 import asyncio
+import contextlib
 import json
 import socket
 import struct
 
+import msgspec
 import pytest
 from users_platform import (
     connections,
@@ -493,6 +495,73 @@
     listening.close()
 
 
+async def test_a_call_that_is_given_up_is_written_no_further():
+    listening = socket.socket()
+    listening.bind(('127.0.0.1', 0))
+    listening.listen(1)
+    host, port = listening.getsockname()
+    calls = engine_calls.EngineCalls()
+    call = _call(f'{host}:{port}')
+    body = b'x' * 50_000_000
+    call = msgspec.structs.replace(
+        call,
+        request=msgspec.structs.replace(call.request, body=body),
+    )
+    sending = asyncio.ensure_future(calls.call(call).__aenter__())
+    await asyncio.sleep(0.2)
+    sending.cancel()
+    await asyncio.gather(sending, return_exceptions=True)
+    peer, _address = listening.accept()
+
+    def read_all():
+        size_bytes = 0
+        with contextlib.suppress(ConnectionResetError):
+            while part := peer.recv(1_000_000):
+                size_bytes += len(part)
+        return size_bytes
+
+    assert await asyncio.to_thread(read_all) < len(body)
+    await calls.close()
+    peer.close()
+    listening.close()
+
+
+async def test_nothing_is_written_once_the_caller_left_while_connecting():
+    # The queue of new connections is full, so this one waits.
+    listening = socket.socket()
+    listening.bind(('127.0.0.1', 0))
+    listening.listen(0)
+    address = listening.getsockname()
+    fillers = [socket.socket() for _number in range(2)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(address)
+    calls = engine_calls.EngineCalls()
+    call = _call(f'{address[0]}:{address[1]}')
+    sending = asyncio.ensure_future(calls.call(call).__aenter__())
+    await asyncio.sleep(0.1)
+    assert call.progress.connect_ms is None
+    sending.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await sending
+    listening.settimeout(2)
+    taken = []
+    with contextlib.suppress(TimeoutError):
+        while True:
+            taken.append(listening.accept()[0])
+    for one in taken:
+        one.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            one.recv(1)
+        one.close()
+    for filler in fillers:
+        filler.close()
+    assert calls._kept.connector is not None
+    assert not calls._kept.connector._acquired
+    await calls.close()
+    listening.close()
+
+
 async def test_cancelled_call_closes_its_connection(engine):
     calls, address, script, received = engine
     script['raw'] = b''
