--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -235,7 +235,7 @@
             target=place.target,
             address=place.address,
             team=None if work.team is None else work.team.team,
-            time_left_ms=work.deadline_ms - now_ms,
+            time_left_ms=work.deadline_ms - self._tools.clock.now_ms(),
             last_event=work.resume_after,
             may_reuse_connection=work.route.may_repeat
             and work.request.method == 'POST',
