--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import random
 from collections.abc import Callable, Sequence
 from typing import Final
@@ -72,11 +73,13 @@
         reason: For logs.
         retry_after_ms: When a new try may succeed.
         waiting: Requests that waited for the service.
+        without_place: Targets by the reason why none has a place, for logs.
     """
 
     reason: str
     retry_after_ms: float
     waiting: int
+    without_place: dict[str, int]
 
 
 class _Waiter:
@@ -190,7 +193,7 @@
                 if waiter.start.done():
                     return waiter.start.result()
                 self.wake(demand.service)
-            return self._refuse('waited too long', demand.service)
+            return self._refuse('waited too long', demand)
         except asyncio.CancelledError:
             if waiter.start.done():
                 self.release(waiter.start.result())
@@ -223,7 +226,7 @@
         if not usable:
             return self._refuse(
                 'no usable target',
-                demand.service,
+                demand,
                 retry_ms=(_RETRY_GONE_MIN_MS, _RETRY_GONE_MAX_MS),
             )
         ahead = 1 + sum(
@@ -234,7 +237,7 @@
         wait_ms = _FORESIGHT_SHARE * (until_ms - self._clock.now_ms())
         rate = self._starts_per_ms(usable)
         if rate is not None and ahead > max(0.0, rate * wait_ms):
-            return self._refuse('queue too long', demand.service)
+            return self._refuse('queue too long', demand)
         return None
 
     def _is_worth_waiting(
@@ -258,16 +261,40 @@
     def _refuse(
         self,
         reason: str,
-        service: identifiers.ServiceId,
+        demand: Demand,
         *,
         retry_ms: tuple[float, float] = (_RETRY_MIN_MS, _RETRY_MAX_MS),
     ) -> Refusal:
         return Refusal(
             reason=reason,
             retry_after_ms=self._random.uniform(*retry_ms),
-            waiting=self.waiting(service),
+            waiting=self.waiting(demand.service),
+            without_place=dict(
+                collections.Counter(
+                    self._why_no_place(record, demand)
+                    for record in self._candidates(demand.service)
+                ),
+            ),
         )
 
+    def _why_no_place(
+        self,
+        record: targets.TargetRecord,
+        demand: Demand,
+    ) -> str:
+        loads = self._loads
+        if record.target in demand.excluded:
+            return 'excluded'
+        if loads.is_avoided(record.target):
+            return 'avoided'
+        if not self._bears_more(record, demand.cold_rps):
+            return 'cold'
+        if not loads.has_report(record.target):
+            return 'no report'
+        if loads.load_of(record.target) >= record.slots:
+            return 'full'
+        return 'left to other entries'
+
     def _find_place(self, demand: Demand) -> targets.TargetRecord | None:
         free = [
             record
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -333,6 +333,7 @@
         refusal: _admission.Refusal,
     ) -> verdicts.Outcome:
         """Ends a request that no further target takes."""
+        work.without_place = refusal.without_place
         if work.may_have_run:
             return verdicts.may_have_run(
                 _Reason.CONNECTION_LOST,
@@ -375,6 +376,7 @@
             begun=work.begun,
             last_event=work.last_event,
             waited_ms=round(work.waited_ms),
+            without_place=work.without_place,
             first_event_ms=None
             if work.first_event_ms is None
             else round(work.first_event_ms),
--- a/src/carobslip/forwarding/_work.py
+++ b/src/carobslip/forwarding/_work.py
@@ -20,6 +20,9 @@
         progress_ms: When the caller last got something, or had sent it all.
         waited_ms: Time that it has waited for places.
         last_call: How far the last call came; None before the first one.
+        without_place: Targets by the reason why none had a place, if it was
+            refused one.
+        call: How far the last call came; None before the first one.
         last_event: The last event that the caller has.
         lost_at: Targets whose answer was lost.
         rejected_by: Targets that have just rejected it.
@@ -51,6 +54,8 @@
         self.progress_ms = request.arrived_ms
         self.waited_ms = 0.0
         self.last_call: _ports.CallProgress | None = None
+        self.without_place: dict[str, int] = {}
+        self.call: _ports.CallProgress | None = None
         self.first_event_ms: float | None = None
         self.last_event: int | None = None
         self.lost_at: set[identifiers.TargetId] = set()
