--- a/src/carobslip/forwarding/_work.py
+++ b/src/carobslip/forwarding/_work.py
@@ -22,7 +22,6 @@
         last_call: How far the last call came; None before the first one.
         without_place: Targets by the reason why none had a place, if it was
             refused one.
-        call: How far the last call came; None before the first one.
         last_event: The last event that the caller has.
         lost_at: Targets whose answer was lost.
         rejected_by: Targets that have just rejected it.
@@ -55,7 +54,6 @@
         self.waited_ms = 0.0
         self.last_call: _ports.CallProgress | None = None
         self.without_place: dict[str, int] = {}
-        self.call: _ports.CallProgress | None = None
         self.first_event_ms: float | None = None
         self.last_event: int | None = None
         self.lost_at: set[identifiers.TargetId] = set()
