Attempts: a target's failure is withheld only for a repeat that is paid for

What callers saw: of several look-ups that failed with 500 at the same moment, some got 502 though their target's own answer was there.

Cause: room for a repeat was looked at when the failure was withheld, and taken later; others had taken it by then.

Change: the repeat is paid for before the failure is withheld.

Test: with one repeat left, three of four look-ups ended as doubtful before; now all four are answered, with one repeat.

--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -277,7 +277,7 @@
                 f'status {answer.head.status} when resumed',
             )
         if answer.head.status >= 500 and (
-            call.has_rival or self._should_repeat(work)
+            call.has_rival or self._will_repeat(work)
         ):
             return verdicts.may_have_run(
                 _Reason.TARGET_FAILED,
@@ -287,9 +287,12 @@
             await work.caller.answer(answer.head, body)
         return verdicts.ran()
 
-    def _should_repeat(self, work: _work.Work) -> bool:
-        """Tells whether a target's failure is worth a second target."""
-        return work.may_be_sent_again and self._budget.can_pay(work)
+    def _will_repeat(self, work: _work.Work) -> bool:
+        """Tells whether a second target takes the place of a failure.
+
+        The repeat is paid for at once, before the failure is withheld.
+        """
+        return work.may_be_sent_again and self._budget.pay(work)
 
     def _judge_refusal(
         self,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -654,3 +654,21 @@
         assert caller.body == whole_stream(4)
 
     virtual.play(story)
+
+
+def test_failures_that_may_not_be_repeated_are_told_as_they_are():
+    async def story():
+        failures = [fakes.FakeAnswer(status=500) for _one in range(6)]
+        entry = fakes.Entry(failures, held=fakes.table())
+        # So much that one repeat is left.
+        entry.entries = 14
+        sends = [
+            asyncio.ensure_future(entry.send('/look/x', request_id=f'r{one}'))
+            for one in range(4)
+        ]
+        ends = await asyncio.gather(*sends)
+        assert [outcome.verdict for outcome, _caller in ends] == [RAN] * 4
+        assert {caller.head.status for _outcome, caller in ends} <= {200, 500}
+        assert len(entry.port.calls) == 5
+
+    virtual.play(story)
