Configurations in parts: peers that misbehave, die or change hold up nobody

What could happen: a part without content, or one with a wrong offset, made a process ask the same peer for ever without a pause, and nothing else was fetched. Of several peers that died with the newest version each cost two seconds, one after the other. Two documents that are not valid here, held by different peers, were fetched in turn without end. A start, or the look around after a pause, lasted as long as new versions kept coming. After close a message that was still answered began a transfer.

Cause: a transfer trusted the peer to go on; peers were drawn by chance also after a silence; one refused document was remembered; finish() waited for the end of all transfers.

Change: a part that does not follow ends the transfer; after a silence the peer that was heard last is asked; eight refused documents are remembered; finish() waits for what was known to be ahead when it was called.

--- a/src/carobslip/control/_fetcher.py
+++ b/src/carobslip/control/_fetcher.py
@@ -1,6 +1,7 @@
 """Fetches configurations from peers that are ahead."""
 
 import asyncio
+import collections
 import random
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -12,6 +13,10 @@
 #: A peer that leaves so many requests for parts in a row unanswered is given
 #: up; what came from it is kept.
 _SILENCES_MAX: Final = 2
+#: Documents that were not valid here and are not fetched again.
+_REFUSED_KEPT: Final = 8
+#: Who waits for a transfer looks at this interval whether it has ended.
+_LOOK_S: Final = 0.01
 
 Rank = tuple[int, int]
 AskPart = Callable[
@@ -48,28 +53,42 @@
         self._log = log
         self._pause_ms = pause_ms
         self._ahead: dict[str, Rank] = {}
-        self._refused: Rank = (0, 0)
+        self._refused: collections.deque[Rank] = collections.deque(
+            maxlen=_REFUSED_KEPT,
+        )
         self._rank: Rank = (0, 0)
         self._content = b''
         self._earliest_ms = 0.0
+        self._was_silent = False
+        self._is_closed = False
         self._run: asyncio.Task[None] | None = None
 
     def note(self, address: str, rank: Rank) -> None:
         """Takes the rank of a peer's document into account."""
-        if rank <= self._holder.rank or rank == self._refused:
-            self._ahead.pop(address, None)
+        self._ahead.pop(address, None)
+        if rank <= self._holder.rank or rank in self._refused:
             return
+        if self._is_closed:
+            return
+        # The peer that was heard last comes last.
         self._ahead[address] = rank
         if self._run is None or self._run.done():
             self._run = asyncio.ensure_future(self._fetch_all())
 
     async def finish(self) -> None:
-        """Returns when no peer that answers is ahead any more."""
-        if self._run is not None:
-            await asyncio.wait([self._run])
+        """Returns when what peers have ahead now is held, or does not come.
+
+        Versions that are announced meanwhile are not waited for.
+        """
+        wanted = max(self._ahead.values(), default=self._holder.rank)
+        while self._run is not None and not self._run.done():
+            if self._holder.rank >= wanted:
+                return
+            await asyncio.wait([self._run], timeout=_LOOK_S)
 
     def close(self) -> None:
-        """Gives up a transfer in progress."""
+        """Gives up a transfer in progress, and begins no other one."""
+        self._is_closed = True
         if self._run is not None:
             self._run.cancel()
 
@@ -86,35 +105,28 @@
             await self._fetch(address)
 
     def _choose(self) -> str | None:
-        """Returns a peer with the highest rank that is worth fetching."""
+        """Returns a peer with the highest rank that is worth fetching.
+
+        After a silence it is the one that was heard last: many peers may have
+        died at once.
+        """
         held = self._holder.rank
         self._ahead = {
             address: rank
             for address, rank in self._ahead.items()
-            if rank > held and rank != self._refused
+            if rank > held and rank not in self._refused
         }
         if not self._ahead:
             return None
         highest = max(self._ahead.values())
-        return random.choice(
-            [
-                address
-                for address, rank in self._ahead.items()
-                if rank == highest
-            ],
-        )
+        peers = [
+            address for address, rank in self._ahead.items() if rank == highest
+        ]
+        return peers[-1] if self._was_silent else random.choice(peers)
 
     async def _fetch(self, address: str) -> None:
         asked_ms = self._holder.clock.now_ms()
-        try:
-            is_whole = await self._gather_parts(address)
-        except _port.PeerUnreachable:
-            self._ahead.pop(address, None)
-            outcome = 'no answer'
-        else:
-            outcome = self._offer(address) if is_whole else 'none held'
-            if not is_whole:
-                self._ahead.pop(address, None)
+        outcome = await self._try_fetch(address)
         self._log.write(
             observability.Event.CONFIGURATION_FETCHED,
             peer=address,
@@ -124,9 +136,24 @@
             fetched=self._rank[0],
             version=self._holder.version,
         )
-        if outcome != 'no answer':
+        if not self._was_silent:
             self._content = b''
 
+    async def _try_fetch(self, address: str) -> str:
+        """Fetches from one peer; returns how that ended, for logs."""
+        self._was_silent = False
+        outcome = 'none held'
+        try:
+            if await self._gather_parts(address):
+                return self._offer(address)
+        except _port.PeerUnreachable:
+            self._was_silent = True
+            outcome = 'no answer'
+        except configuration.MalformedPackage as fault:
+            outcome = f'malformed: {fault}'
+        self._ahead.pop(address, None)
+        return outcome
+
     async def _gather_parts(self, address: str) -> bool:
         """Collects parts until a document is whole.
 
@@ -135,19 +162,32 @@
 
         Raises:
             PeerUnreachable: The peer has gone silent.
+            MalformedPackage: What it sends does not go on.
         """
         while True:
             part = await self._next_part(address)
-            rank = part.version, part.digest
             if not part.size_bytes:
                 return False
-            if rank != self._rank or part.offset != len(self._content):
-                # The peer has another document by now; this part opens it.
-                self._rank = rank
-                self._content = b''
-            self._content += part.content
+            self._add(part)
             if len(self._content) >= part.size_bytes:
                 return True
+            if not part.content:
+                raise configuration.MalformedPackage('a part without content')
+
+    def _add(self, part: _messages.ConfigurationPart) -> None:
+        """Adds a part to what has come.
+
+        Raises:
+            MalformedPackage: The part does not follow.
+        """
+        rank = part.version, part.digest
+        if rank != self._rank or part.offset != len(self._content):
+            # The peer has another document by now; this part opens it.
+            if part.offset:
+                raise configuration.MalformedPackage('parts out of order')
+            self._rank = rank
+            self._content = b''
+        self._content += part.content
 
     async def _next_part(self, address: str) -> _messages.ConfigurationPart:
         version, digest = self._rank if self._content else (0, 0)
@@ -166,14 +206,10 @@
                     raise
 
     def _offer(self, address: str) -> str:
-        try:
-            text = configuration.unpack(self._content)
-        except configuration.MalformedPackage as fault:
-            self._ahead.pop(address, None)
-            return f'malformed: {fault}'
+        text = configuration.unpack(self._content)
         adoption = self._holder.offer(text, source=address)
         if adoption is configuration.Adoption.INVALID:
-            self._refused = self._rank
+            self._refused.append(self._rank)
         if adoption is not configuration.Adoption.ADOPTED:
             self._ahead.pop(address, None)
         return adoption.value
