Streams: one that began without a numbered event is not sent again

Cause: whether a stream can go on was taken from its route alone.

Change: a stream that has begun goes on only behind a numbered event.

Result: two new tests failed before and pass now.

--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -277,7 +277,7 @@
             work.waited_ms += self._clock.now_ms() - asked_ms
 
     def _may_try_again(self, work: _work.Work) -> bool:
-        if work.may_have_run and not work.route.may_repeat:
+        if work.may_have_run and not work.may_repeat:
             return False
         if work.unrun >= _UNRUN_TRIES_MAX:
             return False
--- a/src/carobslip/forwarding/_work.py
+++ b/src/carobslip/forwarding/_work.py
@@ -66,10 +66,20 @@
         """Targets that are not tried now."""
         return frozenset(self.lost_at | self.rejected_by)
 
+    @property
+    def may_repeat(self) -> bool:
+        """Tells whether one more run does no harm.
+
+        A stream that has begun without a numbered event cannot go on behind
+        what its caller has.
+        """
+        cannot_go_on = self.begun and self.last_event is None
+        return self.route.may_repeat and not cannot_go_on
+
     @property
     def may_be_sent_again(self) -> bool:
         """Tells whether one more run does no harm and is allowed."""
-        return self.route.may_repeat and self.sent < self.route.attempts_max
+        return self.may_repeat and self.sent < self.route.attempts_max
 
     def note_unrun(self, target: identifiers.TargetId) -> None:
         """Takes into account that a target provably did not run it."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -654,3 +654,34 @@
         assert caller.body == whole_stream(4)
 
     virtual.play(story)
+
+
+def test_begun_stream_without_numbers_is_not_sent_again():
+    async def story():
+        broken = fakes.broken_events()
+        broken._parts = (b'data: a\n\n', b'data: b\n\n')
+        again = fakes.events()
+        again._parts = (b'data: a\n\n', b'data: b\n\n', b'data: c\n\n')
+        entry = fakes.Entry([broken, again], held=fakes.table())
+        outcome, caller = await entry.send('/note/x')
+        assert outcome.verdict is MAY_HAVE_RUN
+        assert caller.body == b'data: a\n\ndata: b\n\n'
+        assert not caller.is_whole
+
+    virtual.play(story)
+
+
+def test_begun_stream_without_numbers_has_no_second_call():
+    async def story():
+        first = fakes.events()
+        first._parts = (b'data: a\n\n', 5.0, b'data: b\n\n')
+        second = fakes.events()
+        second._parts = (b'data: a\n\n', b'data: b\n\n')
+        entry = fakes.Entry([first, second], held=fakes.table())
+        news = asyncio.ensure_future(stall(entry, after_s=0.3))
+        outcome, caller = await entry.send('/note/x')
+        news.cancel()
+        assert outcome.verdict is RAN
+        assert caller.body == b'data: a\n\ndata: b\n\n'
+
+    virtual.play(story)
