Peers that take no answers do not make a control server deaf

Guards and entries got no answers from processes that were alive.

Cause: the control server has eight workers, and a worker waits without a bound until the connection of a peer takes its answer. Eight answers to peers behind full links, or that do not read, leave every other peer without one. Evidence: real sockets, twelve peers that ask for 60 KB and never read: all other calls time out. Change: an answer that is not taken within 100 ms is dropped, since most who asked have given up by then; 32 workers.

test_peers_that_take_no_answers_do_not_keep_others_waiting failed before.

--- a/src/carobslip/adapters/control_nng.py
+++ b/src/carobslip/adapters/control_nng.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 from typing import Any, Final
 
 import pynng
@@ -9,7 +10,10 @@
 from carobslip import control
 
 _PEERS_MAX: Final = 96
-_WORKERS: Final = 8
+_WORKERS: Final = 32
+#: An answer that its peer's connection does not take within this time is
+#: dropped: most peers have given up by then, and others wait for the worker.
+_SEND_S: Final = 0.1
 _RECONNECT_MIN_MS: Final = 50
 _RECONNECT_MAX_MS: Final = 500
 #: Threads of the messaging library: few, since a node has little to spend.
@@ -111,8 +115,10 @@
         frame = await context.arecv()
         answer = await handler(frame)
         self.received_bytes += len(frame)
-        self.sent_bytes += len(answer)
-        await context.asend(answer)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_SEND_S):
+                await context.asend(answer)
+            self.sent_bytes += len(answer)
 
     def _socket(self, address: str) -> Any:
         known = self._peers.get(address)
--- /dev/null
+++ b/tests/test_control_transport.py
@@ -0,0 +1,58 @@
+"""Control messages over real sockets, beside peers that do not read."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+from carobslip.adapters import control_nng
+
+#: Opening of a requester of the transport's protocol, and of any peer.
+HELLO = b'\x00SP\x00' + struct.pack('>HH', 0x30, 0)
+#: Marks the last header of a request.
+FIRST_REQUEST = 0x80000000
+DOCUMENT = b'x' * 60_000
+PEERS = 12
+REQUESTS = 100
+
+
+def connect(address):
+    host, port = address.split(':')
+    peer = socket.socket()
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    peer.connect((host, int(port)))
+    peer.sendall(HELLO)
+    return peer
+
+
+def ask_and_never_read(peer):
+    for number in range(REQUESTS):
+        content = struct.pack('>I', FIRST_REQUEST + number) + b'document'
+        peer.sendall(struct.pack('>Q', len(content)) + content)
+
+
+def free_address():
+    with contextlib.closing(socket.socket()) as one:
+        one.bind(('127.0.0.1', 0))
+        return '{}:{}'.format(*one.getsockname())
+
+
+async def test_peers_that_take_no_answers_do_not_keep_others_waiting():
+    address = free_address()
+    server = control_nng.NngTransport()
+    client = control_nng.NngTransport()
+
+    async def handle(frame):
+        return DOCUMENT if frame.endswith(b'document') else b'noted'
+
+    await server.serve(address, handle)
+    peers = [connect(address) for _number in range(PEERS)]
+    for peer in peers:
+        ask_and_never_read(peer)
+    await asyncio.sleep(0.5)
+    for _number in range(3):
+        assert await client.call(address, b'news', 1000) == b'noted'
+    for peer in peers:
+        peer.close()
+    await client.close()
+    await server.close()
