Admission: a place found at the last look is not lost

What could happen: a request that waited was given a place by its own last look and was refused all the same ('waited too long'). The place was never given back: the entry counted one request more at that target until its process ended, and refused others for want of places.

Cause: after the look the loop asked for the time first, and only then whether the request had started.

Change: after each look it is asked whether the request has started.

--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -190,9 +190,10 @@
         try:
             while self._clock.now_ms() < demand.wait_until_ms:
                 await asyncio.wait([waiter.start], timeout=_TICK_S)
+                if not waiter.start.done():
+                    self.wake(demand.service)
                 if waiter.start.done():
                     return waiter.start.result()
-                self.wake(demand.service)
             return self._refuse('waited too long', demand)
         except asyncio.CancelledError:
             if waiter.start.done():
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -349,3 +349,16 @@
         assert [one[2] for one in load.started] == [first, second]
 
     virtual.play(story)
+
+
+def test_place_that_is_found_at_the_last_look_is_not_lost():
+    async def story():
+        load = Load(targets=1, slots=1)
+        target = load.records[0].target
+        load.loads.note_total(target, 1, valid_ms=120)
+        place = await load.admission.admit(load.demand(wait_ms=149))
+        if not isinstance(place, forwarding.Refusal):
+            load.admission.release(place)
+        assert load.loads.own_of(target) == 0
+
+    virtual.play(story)
