Calls of engines: an answer that begins as its call is cancelled is closed

What could happen: the caller left, or another target answered first, in the moment in which an engine's answer began. The answer was dropped unread and its connection stayed open until its memory was collected, while the engine worked on (GONE).

Cause: cancelling a request that has just ended does nothing.

--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -580,6 +580,38 @@
     listening.close()
 
 
+class AnswerThatBegins:
+    """An engine's answer, of which only the end of its connection is seen."""
+
+    def __init__(self):
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
+
+
+async def test_answer_that_begins_as_the_call_is_cancelled_is_closed():
+    calls = engine_calls.EngineCalls()
+    answer = AnswerThatBegins()
+
+    async def request(_call):
+        await asyncio.sleep(0.01)
+        asyncio.get_running_loop().call_soon(task.cancel)
+        return answer
+
+    calls._request = request
+
+    async def follow():
+        async with calls.call(_call('127.0.0.1:1')):
+            pass
+
+    task = asyncio.ensure_future(follow())
+    await asyncio.wait([task])
+    assert task.cancelled()
+    assert answer.is_closed
+    await calls.close()
+
+
 async def test_cancelled_call_closes_its_connection(engine):
     calls, address, script, received = engine
     script['raw'] = b''
