Group news: two coordinators do not displace each other's list of ranks

What could happen: while two guards coordinate one group and know different ranks, each of their news made the entry forget the other's list of addresses.

Cause: an entry kept one list a group.

Change: lists are kept by group and digest, 64 in all.

Result: the new test failed before and passes now; bytes of such a phase were not measured.

--- a/src/carobslip/processes/_entry_news.py
+++ b/src/carobslip/processes/_entry_news.py
@@ -10,8 +10,8 @@
 
 #: An answer that takes longer is not waited for; newer news follow.
 _ANSWER_MS: Final = 100.0
-#: Groups whose addresses an entry remembers.
-_GROUPS_MAX: Final = 64
+#: Lists of addresses that an entry remembers, of all groups.
+_LISTS_MAX: Final = 64
 
 
 class EntryNews:
@@ -98,26 +98,28 @@
 
 
 class GroupMembers:
-    """The addresses of ranks that news of groups refer to."""
+    """The addresses of ranks that news of groups refer to.
+
+    A group may have two coordinators for a while, which know different ranks.
+    """
 
     def __init__(self) -> None:
         self._known: dict[
-            identifiers.GroupId,
-            tuple[int, tuple[str, ...]],
+            tuple[identifiers.GroupId, int],
+            tuple[str, ...],
         ] = {}
 
     def take(self, news: control.GroupLoad) -> tuple[str, ...] | None:
         """Returns the addresses in the order of the loads, if known."""
-        if news.members:
-            self._known.pop(news.group, None)
-            self._known[news.group] = (news.members_digest, news.members)
-            while len(self._known) > _GROUPS_MAX:
-                self._known.pop(next(iter(self._known)))
-        digest, members = self._known.get(news.group, (0, ()))
-        is_known = digest == news.members_digest
-        if is_known and len(members) == len(news.requests):
-            return members
-        return None
+        key = news.group, news.members_digest
+        known = self._known.pop(key, ())
+        members = news.members or known
+        if not members:
+            return None
+        self._known[key] = members
+        while len(self._known) > _LISTS_MAX:
+            self._known.pop(next(iter(self._known)))
+        return members if len(members) == len(news.requests) else None
 
 
 def load_message(
--- a/tests/test_group_traffic.py
+++ b/tests/test_group_traffic.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+import msgspec
 import pytest
 
 from carobslip import (
@@ -16,6 +17,7 @@
     observability,
     processes,
 )
+from carobslip.processes import _entry_news
 from tests.fakes import cluster as clusters
 from tests.fakes import engine_group
 from tests.fakes import host as hosts
@@ -292,3 +294,19 @@
 def test_a_malformed_layout_is_asked_for_again(content, base):
     packed = expertmap.PackedLayout(digest=1, base=base, content=content)
     assert expertmap.LayoutReader().read(packed) is None
+
+
+def test_addresses_from_two_coordinators_of_a_group_do_not_displace_each_other():
+    known = processes.GroupMembers()
+    group = identifiers.GroupId('g')
+    first = _entry_news.load_message(group, [('a:1', 1, 0)], is_open=True)
+    second = _entry_news.load_message(
+        group,
+        [('a:1', 2, 0), ('b:1', 3, 0)],
+        is_open=True,
+    )
+    for news in (first, second):
+        assert known.take(news) == news.members
+    for news in (first, second, first, second):
+        without = msgspec.structs.replace(news, members=())
+        assert known.take(without) == news.members
