Repeats: what was paid for an arrival that does not come is given back

What could happen: a request that lost its call paid for the next one, found no place or its caller left, and was not sent again. The payment counted for a whole window all the same: 30 such requests left no repeat for 10 s to those that had a place.

Cause: a repeat is paid for before a place is found, and nothing gave it back.

Change: at the end of a request a payment without an arrival is given back. A call that was cancelled counts as arrived, as before.

--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -184,6 +184,7 @@
             raise
         finally:
             self.in_progress -= 1
+            self._budget.give_back(work)
         self._note_end(work, outcome)
         return outcome
 
--- a/src/carobslip/forwarding/_repeat_budget.py
+++ b/src/carobslip/forwarding/_repeat_budget.py
@@ -107,6 +107,15 @@
         work.paid_ms = self._clock.now_ms()
         repeats.append(work.paid_ms)
 
+    def give_back(self, work: _work.Work) -> None:
+        """Gives back what was paid for an arrival that does not come."""
+        repeats = self._repeats.get(work.service)
+        if repeats is None or work.paid < max(1, work.arrivals):
+            return
+        if work.paid_ms is not None and work.paid_ms in repeats:
+            repeats.remove(work.paid_ms)
+            work.paid -= 1
+
     def has_room(self, service: identifiers.ServiceId) -> bool:
         """Tells whether one more repeat is allowed."""
         requests = self._requests.setdefault(service, collections.deque())
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -223,3 +223,19 @@
         assert budget.has_room(work.service)
 
     virtual.play(story)
+
+
+def test_requests_that_are_not_sent_again_leave_room_for_others():
+    async def story():
+        script = [fakes.broken_events(1) for _number in range(30)]
+        entry = fakes.Entry(script, held=fakes.table(), count=1, slots=40)
+        await asyncio.gather(
+            *(
+                entry.send('/note/x', request_id=f'r{number}')
+                for number in range(30)
+            ),
+        )
+        assert len(entry.port.calls) == 30
+        assert len(entry.budget._repeats[fakes.SERVICE]) == 0
+
+    virtual.play(story)
