Control calls: a connection closed for others ends a call as unreachable

What could happen: with more than 96 peers the connection of the peer that was asked least recently is closed. A call still in progress there ended with an error of the messaging library, which no caller expects, instead of 'peer unreachable'; it would have ended the task that probes.

Cause: closing the call's context raised, since its socket was closed already. The same made the tests print a warning when a server's contexts were collected.

Change: a context whose socket is closed counts as closed.

Result: the new test failed before (the library's error) and passes now; the warning is gone.

--- a/src/carobslip/adapters/control_nng.py
+++ b/src/carobslip/adapters/control_nng.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 from typing import Any, Final
 
 import pynng
@@ -77,7 +78,7 @@
         except (TimeoutError, pynng.NNGException) as fault:
             raise control.PeerUnreachable(f'{address}: {fault!r}') from None
         finally:
-            context.close()
+            _close(context)
         self.sent_bytes += len(frame)
         self.received_bytes += len(answer)
         return answer
@@ -103,13 +104,23 @@
 
     async def _work(self, handler: control.Handler) -> None:
         context = self._server.new_context()
-        while not self._is_closing:
-            try:
-                await self._answer_one(context, handler)
-            except pynng.NNGException:
-                # The peer has gone; the next request is another matter.
-                await asyncio.sleep(0)
-            _raise_lost_cancellation()
+        try:
+            while not self._is_closing:
+                await self._answer_next(context, handler)
+        finally:
+            _close(context)
+
+    async def _answer_next(
+        self,
+        context: Any,
+        handler: control.Handler,
+    ) -> None:
+        try:
+            await self._answer_one(context, handler)
+        except pynng.NNGException:
+            # The peer has gone; the next request is another matter.
+            await asyncio.sleep(0)
+        _raise_lost_cancellation()
 
     async def _answer_one(self, context: Any, handler: control.Handler) -> None:
         frame = await context.arecv()
@@ -139,6 +150,12 @@
         return known
 
 
+def _close(context: Any) -> None:
+    # Where its socket was closed first, there is nothing left to close.
+    with contextlib.suppress(pynng.Closed):
+        context.close()
+
+
 def _raise_lost_cancellation() -> None:
     """Raises the cancellation that the messaging library has dropped.
 
--- a/tests/test_control_transport.py
+++ b/tests/test_control_transport.py
@@ -5,6 +5,9 @@
 import socket
 import struct
 
+import pytest
+
+from carobslip import control
 from carobslip.adapters import control_nng
 
 #: Opening of a requester of the transport's protocol, and of any peer.
@@ -56,3 +59,23 @@
         peer.close()
     await client.close()
     await server.close()
+
+
+async def test_call_whose_connection_is_closed_for_others_ends_as_unreachable():
+    address = free_address()
+    server = control_nng.NngTransport()
+    client = control_nng.NngTransport()
+
+    async def never_answer(frame):
+        await asyncio.sleep(60)
+        return frame
+
+    await server.serve(address, never_answer)
+    call = asyncio.ensure_future(client.call(address, b'news', 5000))
+    await asyncio.sleep(0.3)
+    # What happens to the peer that was asked least recently.
+    client._peers.pop(address).close()
+    with pytest.raises(control.PeerUnreachable):
+        await call
+    await client.close()
+    await server.close()
