--- a/src/carobslip/configuration/_forwarding.py
+++ b/src/carobslip/configuration/_forwarding.py
@@ -1,14 +1,13 @@
 """Routes, teams and engine figures for requests that entries forward."""
 
 import enum
-from typing import Annotated, Final
+from typing import Annotated
 
 import msgspec
 
 from carobslip import identifiers
 
 _NonNegative = Annotated[float, msgspec.Meta(ge=0)]
-_WEIGHT_TOTAL_MIN: Final = 1
 
 
 class RequestKind(enum.Enum):
@@ -33,7 +32,7 @@
     """A service with its share of a route's requests."""
 
     service: identifiers.ServiceId
-    weight: Annotated[int, msgspec.Meta(ge=0)]
+    weight: _NonNegative
 
 
 class Route(_Part, frozen=True, kw_only=True):
@@ -72,7 +71,7 @@
         if not (self.prefix.startswith('/') and self.prefix.endswith('/')):
             raise ValueError('prefix does not begin and end with a slash')
         total = sum(share.weight for share in self.services)
-        if total < _WEIGHT_TOTAL_MIN:
+        if total <= 0:
             raise ValueError('services have no weight')
 
     @property
--- a/src/carobslip/forwarding/_repeat_budget.py
+++ b/src/carobslip/forwarding/_repeat_budget.py
@@ -32,7 +32,7 @@
     """
 
     ratio: float = 0.2
-    extra: int = 20
+    extra: float = 20
     window_s: float = 10
 
 
