--- a/src/carobslip/adapters/control_nng.py
+++ b/src/carobslip/adapters/control_nng.py
@@ -9,7 +9,10 @@
 
 from carobslip import control
 
-_SOCKETS_MAX: Final = 96
+#: A coordinator has a connection to each rank of its group and to each entry.
+_SOCKETS_MAX: Final = 384
+#: Sockets that were last used longer ago are closed.
+_IDLE_S: Final = 10.0
 _WORKERS: Final = 32
 #: Timeout for sending an answer, which is then dropped: the request of the peer
 #: has timed out by then, and other requests wait for the worker.
@@ -38,7 +41,7 @@
     """Implements the control transport.
 
     The library resends a request when a connection breaks, so every control
-    request is idempotent. Sockets are cached for the most recently used peers;
+    request is idempotent. Sockets are kept for the most recently used peers;
     each call has its own context.
     """
 
@@ -46,6 +49,7 @@
         self._sockets: collections.OrderedDict[str, Any] = (
             collections.OrderedDict()
         )
+        self._used_s: dict[str, float] = {}
         self._server: Any = None
         self._is_closing = False
         self._workers: list[asyncio.Task[None]] = []
@@ -146,11 +150,22 @@
             )
             socket.dial(f'tcp://{address}', block=False)
             self._sockets[address] = socket
-            if len(self._sockets) > _SOCKETS_MAX:
-                self._sockets.popitem(last=False)[1].close()
+        self._used_s[address] = asyncio.get_running_loop().time()
         self._sockets.move_to_end(address)
+        self._close_unused()
         return socket
 
+    def _close_unused(self) -> None:
+        """Closes sockets that are idle, and the oldest above the maximum."""
+        oldest_s = asyncio.get_running_loop().time() - _IDLE_S
+        while self._sockets:
+            address = next(iter(self._sockets))
+            is_idle = self._used_s.get(address, oldest_s) < oldest_s
+            if not is_idle and len(self._sockets) <= _SOCKETS_MAX:
+                return
+            self._sockets.pop(address).close()
+            self._used_s.pop(address, None)
+
 
 def _close(context: Any) -> None:
     # Closing the socket first has closed its contexts as well.
--- a/src/carobslip/membership/_prober.py
+++ b/src/carobslip/membership/_prober.py
@@ -1,4 +1,4 @@
-"""Probes one peer per period, regardless of the size of the fleet."""
+"""Probes one monitored peer per period, regardless of the fleet's size."""
 
 import asyncio
 import random
@@ -8,7 +8,7 @@
 import msgspec
 
 from carobslip import clocks, control, directory, identifiers
-from carobslip.membership import _table
+from carobslip.membership import _overlay, _table
 
 #: A member presumed dead is probed once in this many periods, so that a healed
 #: network partition is detected.
@@ -48,7 +48,7 @@
 class Prober:
     """Detects failed members.
 
-    A member that answers neither a direct nor an indirect probe is suspected,
+    Each process probes the few members that it monitors in turn. A member that answers neither a direct nor an indirect probe is suspected,
     and is marked dead unless it refutes the suspicion in time.
 
     Args:
@@ -108,7 +108,7 @@
 
     async def push(self) -> None:
         """Probes a few peers at once to announce our configuration version."""
-        peers = self._alive_peers()
+        peers = self._monitored_peers()
         chosen = self._random.sample(peers, min(_PUSH_PEERS, len(peers)))
         await asyncio.gather(
             *(self._probe(peer.control_address) for peer in chosen),
@@ -147,10 +147,18 @@
             if dead_peers:
                 return self._random.choice(dead_peers)
         if not self._probe_order:
-            self._probe_order = self._alive_peers()
+            self._probe_order = self._monitored_peers()
             self._random.shuffle(self._probe_order)
         return self._probe_order.pop() if self._probe_order else None
 
+    def _monitored_peers(self) -> list[directory.InstanceRecord]:
+        alive = {peer.instance: peer for peer in self._alive_peers()}
+        monitored = _overlay.monitored_members(
+            self.table.own.record.instance,
+            alive,
+        )
+        return [alive[name] for name in sorted(monitored)]
+
     def _alive_peers(self) -> list[directory.InstanceRecord]:
         return [
             *self._peers_in(control.MemberState.ALIVE),
--- a/tests/test_control_transport.py
+++ b/tests/test_control_transport.py
@@ -79,3 +79,25 @@
         await call
     await client.close()
     await server.close()
+
+
+async def test_idle_connections_are_closed(monkeypatch):
+    monkeypatch.setattr(control_nng, '_IDLE_S', 0.2)
+    server = control_nng.NngTransport()
+    client = control_nng.NngTransport()
+    addresses = [free_address(), free_address()]
+
+    async def answer(frame):
+        return frame
+
+    second = control_nng.NngTransport()
+    await server.serve(addresses[0], answer)
+    await second.serve(addresses[1], answer)
+    assert await client.call(addresses[0], b'news', 1000) == b'news'
+    await asyncio.sleep(0.4)
+    assert await client.call(addresses[1], b'news', 1000) == b'news'
+    assert list(client._sockets) == [addresses[1]]
+    # A closed connection is replaced when it is needed again.
+    assert await client.call(addresses[0], b'news', 1000) == b'news'
+    for transport in (client, server, second):
+        await transport.close()
