Times of a group are derived from its size in one place

Reports of 96 ranks came every 0.8 s and loads every 1.6 s, while the times that judge them were constants: a report counted for 0.5 s, a rank was lost after 1 s and a load was valid for 1.5 s. GroupTimes holds all of them, checks how they relate when it is built, and entries get validity and avoidance with each load.

A stall is published at once.

--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -163,6 +163,9 @@
     Attributes:
         group: The group.
         is_open: Its ranks work; otherwise requests sent to it stall.
+        valid_ms: How long the loads may be used; a large group renews them
+            less often.
+        avoid_ms: How long a stalled group is avoided after this message.
         members_digest: Digest of the addresses that the loads belong to.
         requests: Requests at each engine, running and waiting.
         members: The addresses, unless the entry has confirmed them.
@@ -171,6 +174,8 @@
     group: identifiers.GroupId
     is_open: bool
     members_digest: int
+    valid_ms: float
+    avoid_ms: float
     requests: Annotated[
         tuple[int, ...],
         msgspec.Meta(max_length=_RANKS_MAX),
--- a/src/carobslip/expertmap/__init__.py
+++ b/src/carobslip/expertmap/__init__.py
@@ -23,6 +23,7 @@
     RankReport,
     join_ranks,
 )
+from carobslip.expertmap._group_times import GroupTimes, group_times
 from carobslip.expertmap._layout_codec import (
     LayoutReader,
     LayoutWriter,
@@ -76,6 +77,7 @@
     'GroupCoordinator',
     'GroupLoad',
     'GroupCoordinatorSettings',
+    'GroupTimes',
     'GroupRanks',
     'GroupSwitch',
     'Layout',
@@ -104,6 +106,7 @@
     'SwitchResult',
     'balance',
     'is_worth_moving',
+    'group_times',
     'join_ranks',
     'moved_replicas',
     'place_experts',
--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -11,16 +11,11 @@
     _balance,
     _count_codec,
     _group_map,
+    _group_times,
     _orders,
     _switch,
 )
 
-#: A rank whose latest report is older than this is not considered healthy.
-_REPORT_FRESH_MS: Final = 500.0
-#: A rank whose guard has sent nothing for this long is probed directly.
-_PROBE_AFTER_MS: Final = 250.0
-#: A group counts as broken when a rank has not reported for this long.
-_RANK_TIMEOUT_MS: Final = 1000.0
 #: It counts as broken sooner if this many probes in a row of the rank's engine
 #: failed: then its machine is gone or hangs, not only its guard.
 _FAILED_PROBES_MAX: Final = 2
@@ -30,6 +25,8 @@
 #: A hold or an armed map that is not from a switch of this coordinator is ended
 #: after this time, as another coordinator may still be active.
 _RECOVER_AFTER_MS: Final = 200.0
+#: A report that arrives this long after a switch was made after it.
+_REPORT_TRANSIT_MS: Final = 100.0
 #: Decay factor of older selection counts per period; the popularity of experts
 #: shifts every few seconds.
 _DECAY_FACTOR: Final = 0.3
@@ -95,6 +92,7 @@
 
     Args:
         group: The group.
+        size: Ranks in the group.
         own_rank: Rank of the engine beside this process.
         ranks: Reaches the guards of all ranks.
         clock: Monotonic and wall time.
@@ -105,6 +103,7 @@
         self,
         *,
         group: identifiers.GroupId,
+        size: int,
         own_rank: int,
         ranks: _orders.GroupRanks,
         clock: clocks.Clock,
@@ -128,6 +127,9 @@
         self._probes: dict[int, asyncio.Task[None]] = {}
         self._failed_probes: dict[int, int] = {}
         self._began_ms = clock.now_ms()
+        self._switch_began_ms = 0.0
+        self._switch_ended_ms = -_REPORT_TRANSIT_MS
+        self._times = _group_times.group_times(size)
 
     @property
     def is_broken(self) -> bool:
@@ -135,9 +137,9 @@
         if self._has_lost_rank():
             return True
         now_ms = self._clock.now_ms()
-        if now_ms - self._began_ms < _RANK_TIMEOUT_MS:
+        if now_ms - self._began_ms < self._times.rank_timeout_ms:
             return False
-        reports = self._reports_since(now_ms - _RANK_TIMEOUT_MS)
+        reports = self._reports_since(now_ms - self._times.rank_timeout_ms)
         if not reports:
             return False
         since_ms = self._unfinished_since_ms
@@ -229,7 +231,7 @@
         )
 
     def _probe_silent_ranks(self) -> None:
-        oldest_ms = self._clock.now_ms() - _PROBE_AFTER_MS
+        oldest_ms = self._clock.now_ms() - self._times.probe_after_ms
         reports = self._fresh_reports()
         size = reports[0].size if reports else 0
         self._failed_probes = {
@@ -280,7 +282,7 @@
 
     def _has_lost_rank(self) -> bool:
         """Tells whether neither guard nor engine of a rank answers."""
-        oldest_ms = self._clock.now_ms() - _REPORT_FRESH_MS
+        oldest_ms = self._clock.now_ms() - self._times.report_fresh_ms
         for rank, count in self._failed_probes.items():
             latest = self._latest.get(rank)
             is_fresh = latest is not None and latest.received_ms >= oldest_ms
@@ -295,11 +297,14 @@
         if self._has_unfinished_switch():
             await self._run_switch(size, layout, None)
             return
-        if any(one.held or one.armed for one in self._fresh_reports()):
+        if any(one.held or one.armed for one in self._reports_after_switch()):
             return
         if layout is None:
             await self._refresh_layout(size)
             return
+        waited_ms = self._clock.now_ms() - self._switch_began_ms
+        if waited_ms < self._times.switch_interval_ms:
+            return
         plan = self._plan(settings, layout)
         if plan is not None:
             await self._run_switch(size, layout, plan)
@@ -331,6 +336,7 @@
         if layout is None:
             layout = await self._fetch_layout(size)
         began_ms = self._clock.now_ms()
+        self._switch_began_ms = began_ms
         switch = _switch.GroupSwitch(
             ranks=self._ranks,
             size=size,
@@ -343,7 +349,12 @@
         if plan is None or layout is None:
             result = await switch.recover(layout)
         else:
-            result = await switch.switch(plan.layout, layout)
+            result = await switch.switch(
+                plan.layout,
+                layout,
+                known=self._reports_after_switch(),
+            )
+        self._switch_ended_ms = self._clock.now_ms()
         self._adapt_margin(switch.lost_orders)
         switched = result is _switch.SwitchResult.SWITCHED
         if switched and plan is not None:
@@ -402,7 +413,7 @@
 
     def _has_unfinished_switch(self) -> bool:
         """Tells whether a hold or a partly armed map is overdue."""
-        reports = self._fresh_reports()
+        reports = self._reports_after_switch()
         armed = [report.armed for report in reports]
         # A group whose ranks are all armed alike only waits for its pass.
         stands = any(report.held is not None for report in reports) or any(
@@ -416,8 +427,19 @@
             self._unfinished_since_ms = now_ms
         return now_ms - self._unfinished_since_ms >= _RECOVER_AFTER_MS
 
+    def _reports_after_switch(self) -> list[_group_map.RankReport]:
+        """Returns fresh reports that were not made during the last switch."""
+        return self._reports_since(
+            max(
+                self._clock.now_ms() - self._times.report_fresh_ms,
+                self._switch_ended_ms + _REPORT_TRANSIT_MS,
+            ),
+        )
+
     def _fresh_reports(self) -> list[_group_map.RankReport]:
-        return self._reports_since(self._clock.now_ms() - _REPORT_FRESH_MS)
+        return self._reports_since(
+            self._clock.now_ms() - self._times.report_fresh_ms,
+        )
 
     def _reports_since(
         self,
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import enum
+from collections.abc import Sequence
 from typing import Final
 
 from carobslip import clocks
@@ -103,15 +104,19 @@
         self,
         layout: _group_map.Layout,
         present: _group_map.Layout,
+        *,
+        known: Sequence[_group_map.RankReport] = (),
     ) -> SwitchResult:
         """Brings a layout into force in all ranks, or in none.
 
         Args:
             layout: Experts that the ranks will hold.
             present: Experts that they hold now.
+            known: Recent reports of all ranks. They save a round of messages;
+                a rank that is held or armed meanwhile refuses its orders.
         """
         try:
-            return await self._switch(layout, present)
+            return await self._switch(layout, present, known)
         except _Superseded:
             return SwitchResult.SUPERSEDED
 
@@ -133,16 +138,18 @@
         self,
         layout: _group_map.Layout,
         present: _group_map.Layout,
+        known: Sequence[_group_map.RankReport],
     ) -> SwitchResult:
-        answers = await self._fetch_reports()
-        reports = [answer.report for answer in answers.values()]
+        reports = list(known)
+        if len(reports) < self._size:
+            reports = _reports_in(await self._fetch_reports())
         if len(reports) < self._size:
             self.why = 'not all ranks report'
             return SwitchResult.KEPT
-        if any(one and (one.held or one.armed) for one in reports):
+        if any(one.held or one.armed for one in reports):
             self.why = 'another switch stands'
             return SwitchResult.KEPT
-        version = self._next_version(answers)
+        version = self._next_version(reports)
         if not await self._prepare(version, layout):
             self.why = 'not all ranks prepared'
             return SwitchResult.KEPT
@@ -164,7 +171,7 @@
     ) -> SwitchResult:
         await self._take_over_holds(await self._fetch_reports())
         answers = await self._fetch_reports()
-        reports = [one.report for one in answers.values() if one.report]
+        reports = _reports_in(answers)
         absent = set(range(self._size)) - set(answers)
         known_absent = self._armed_map_of_absent(absent, answers)
         steps = {one.held for one in reports if one.held is not None}
@@ -358,7 +365,9 @@
         """
         neutral = 0
         if present is not None:
-            neutral = self._next_version(await self._fetch_reports())
+            neutral = self._next_version(
+                _reports_in(await self._fetch_reports()),
+            )
         done = set(absent)
         for _ in range(_UNDO_ATTEMPTS):
             asked = [rank for rank in range(self._size) if rank not in done]
@@ -482,19 +491,24 @@
 
     def _next_version(
         self,
-        answers: dict[int, _orders.RankAnswer],
+        reports: Sequence[_group_map.RankReport],
     ) -> int:
         """Returns a version that no coordinator has used for another map."""
-        known = [self._version]
-        for answer in answers.values():
-            if answer.report is not None:
-                known.append(answer.report.map_version)
-                known.append(answer.report.prepared or 0)
-        base = (max(known) // _VERSION_STEP + 1) * _VERSION_STEP
+        known = max(
+            (max(one.map_version, one.prepared or 0) for one in reports),
+            default=0,
+        )
+        base = (max(known, self._version) // _VERSION_STEP + 1) * _VERSION_STEP
         self._version = base + self._own_rank
         return self._version
 
 
+def _reports_in(
+    answers: dict[int, _orders.RankAnswer],
+) -> list[_group_map.RankReport]:
+    return [one.report for one in answers.values() if one.report is not None]
+
+
 def _has_prepared(answer: _orders.RankAnswer, version: int) -> bool:
     return answer.report is not None and answer.report.prepared == version
 
--- a/src/carobslip/forwarding/_loads.py
+++ b/src/carobslip/forwarding/_loads.py
@@ -6,9 +6,6 @@
 
 from carobslip import clocks, identifiers, targets
 
-#: Time after which a report of the requests of other entries is stale. A
-#: coordinator renews its report several times within it.
-REPORT_VALID_MS: Final = 1500.0
 #: Validity of the load in an answer, about the duration of a plain call.
 ANSWER_VALID_MS: Final = 100.0
 #: Part of the free slots in a shared report that entries use: some were taken
@@ -205,7 +202,7 @@
         target: identifiers.TargetId,
         total: int,
         *,
-        valid_ms: float = REPORT_VALID_MS,
+        valid_ms: float,
         sharers: int = 1,
     ) -> None:
         """Stores a report of all requests at a target.
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -37,9 +37,6 @@
 _LIST_POLL_S: Final = 0.01
 _POLLS_PER_PEER_QUERY: Final = 40
 _PEER_TIMEOUT_MS: Final = 250.0
-#: Targets of a stalled group are avoided this long after a load message that
-#: reports the stall; the next message renews it.
-_GROUP_AVOID_MS: Final = 500.0
 
 
 class ForwardingEntrySettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -405,10 +402,11 @@
             self.loads.store_report(
                 target,
                 requests,
+                valid_ms=load.valid_ms,
                 sharers=self._count_entries(),
             )
             if not load.is_open:
-                self.loads.avoid(target, _GROUP_AVOID_MS)
+                self.loads.avoid(target, load.avoid_ms)
         self._update_stall(load, members)
         self.forwarder.admission.recheck_queues()
         return control.Noted()
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -27,11 +27,8 @@
 from carobslip.adapters import control_nng
 from carobslip.processes import _group_load, _group_peers
 
-#: Period of the reports, for groups of up to _PERIOD_RANKS ranks. It grows with
-#: larger groups, since the coordinator gets all reports over a low-bandwidth
-#: link.
+#: Period of the reports while the engine's group is unknown.
 _PERIOD_S: Final = 0.1
-_PERIOD_RANKS: Final = 12
 _FAILURES_MAX: Final = 2
 #: After more failed reports than this in a row, the engine counts as gone, and
 #: another one may have taken over its rank.
@@ -39,10 +36,6 @@
 _PUSH_TIMEOUT_MS: Final = 100.0
 #: A guard uses little of a configuration and has a low-bandwidth link.
 _FETCH_PAUSE_MS: Final = 1000.0
-#: Periods between two load messages to entries.
-_LOAD_PERIODS: Final = 2
-#: Periods between two reports of expert counts by a rank of a large group.
-_COUNT_PERIODS: Final = 2
 #: Guards probe less often than entries: callers do not depend on them.
 GROUP_GUARD_PROBER_SETTINGS: Final = membership.ProberSettings(
     period_ms=500,
@@ -130,6 +123,8 @@
         self._report: expertmap.RankReport | None = None
         self._report_failures = 0
         self._periods = 0
+        self._load_due_ms = 0.0
+        self._published_open = True
 
     async def start(self) -> None:
         """Starts the task that joins the fleet and polls the engine."""
@@ -205,16 +200,20 @@
             version=self._member.holder.version,
         )
         while True:
-            period_s = _PERIOD_S
             try:
                 self._report = await self._engine.report()
                 if self._report is not None:
                     await self._handle_report(self._report)
-                    period_s *= max(1.0, self._report.size / _PERIOD_RANKS)
                 self._report_failures = 0
             except expertmap.EngineUnavailable as fault:
                 await self._on_engine_unavailable(str(fault))
-            await asyncio.sleep(period_s)
+            await asyncio.sleep(self._period_s())
+
+    def _period_s(self) -> float:
+        if self._report is None or self._report_failures:
+            return _PERIOD_S
+        times = expertmap.group_times(self._report.size)
+        return times.report_period_ms / 1000
 
     async def _read_first_report(self) -> None:
         """Reads group and rank before the first message to peers needs them."""
@@ -253,7 +252,7 @@
         update = expertmap.RankUpdate(
             report=report,
             sequence=self._next_sequence(),
-            counts=await self._counts_if_due(report),
+            counts=await self._counts_if_counting(report),
             address=self._own.engine_address,
         )
         coordinator = self._choose_coordinator(report)
@@ -273,11 +272,13 @@
                 msgspec.structs.replace(record, group=group, rank=rank),
             )
 
-    async def _counts_if_due(self, report: expertmap.RankReport) -> bytes:
-        """Returns the encoded expert counts if they are due, else b''."""
-        interval = _COUNT_PERIODS if report.size > _PERIOD_RANKS else 1
-        is_due = (self._periods + report.rank) % interval == 0
-        return await self._new_counts() if report.is_open and is_due else b''
+    async def _counts_if_counting(self, report: expertmap.RankReport) -> bytes:
+        """Returns the encoded expert counts of a counting rank, else b''."""
+        interval = expertmap.group_times(report.size).counting_interval
+        is_counting = report.rank % interval == 0
+        return (
+            await self._new_counts() if report.is_open and is_counting else b''
+        )
 
     async def _new_counts(self) -> bytes:
         """Returns the encoded expert counts since the last call."""
@@ -352,8 +353,7 @@
         group_coordinator.settings = self._group_coordinator_settings()
         group_coordinator.record_update(update)
         group_coordinator.probe_and_rebalance()
-        if self._periods % _LOAD_PERIODS == 0:
-            self._publish_load(group_coordinator)
+        self._publish_load_if_due(group_coordinator, report.size)
 
     def _get_or_create_group_coordinator(
         self, report: expertmap.RankReport
@@ -362,6 +362,7 @@
         if group_coordinator is None or group_coordinator.group != report.group:
             group_coordinator = expertmap.GroupCoordinator(
                 group=report.group,
+                size=report.size,
                 own_rank=report.rank,
                 ranks=_group_peers.RanksByControl(
                     peers=self._peers,
@@ -396,15 +397,29 @@
                 return service.engine
         return None
 
-    def _publish_load(
-        self, group_coordinator: expertmap.GroupCoordinator
+    def _publish_load_if_due(
+        self,
+        group_coordinator: expertmap.GroupCoordinator,
+        size: int,
     ) -> None:
+        """Publishes the load once a load period, and a stall at once."""
+        now_ms = self._clock.now_ms()
+        is_open = not group_coordinator.is_broken
+        if now_ms < self._load_due_ms and is_open is self._published_open:
+            return
+        times = expertmap.group_times(size)
+        # Half a report period of tolerance, as this runs once a period.
+        self._load_due_ms = (
+            now_ms + times.load_period_ms - times.report_period_ms / 2
+        )
+        self._published_open = is_open
         self._load_publisher.publish(
             self._member.fleet.entries(),
             _group_load.load_message(
                 group_coordinator.group,
                 group_coordinator.loads(),
-                is_open=not group_coordinator.is_broken,
+                is_open=is_open,
+                times=times,
             ),
         )
 
--- a/src/carobslip/processes/_group_load.py
+++ b/src/carobslip/processes/_group_load.py
@@ -6,18 +6,28 @@
 
 import msgspec
 
-from carobslip import control, directory, hashing, identifiers, observability
+from carobslip import (
+    control,
+    directory,
+    expertmap,
+    hashing,
+    identifiers,
+    observability,
+)
 
 #: Timeout of one message; a lost load is superseded by the next one.
 _ANSWER_TIMEOUT_MS: Final = 100.0
+#: Messages in flight at the same time. More of them would wait for each other,
+#: and for orders to ranks, in front of a low-bandwidth link.
+_IN_FLIGHT_MAX: Final = 8
 #: Address lists that an entry keeps, over all groups.
 _ADDRESS_LISTS_MAX: Final = 64
 
 
 class GroupLoadPublisher:
-    """Sends each entry the latest load, independently of the other entries.
+    """Sends each entry the latest load.
 
-    Each entry has at most one message in flight. The addresses of the ranks
+    Each entry has at most one message in flight, all entries together a few. The addresses of the ranks
     are sent only to entries that have not confirmed them.
 
     Args:
@@ -36,6 +46,7 @@
         self._latest: control.GroupLoad | None = None
         self._confirmed: dict[identifiers.InstanceId, int] = {}
         self._tasks: dict[identifiers.InstanceId, asyncio.Task[None]] = {}
+        self._in_flight = asyncio.Semaphore(_IN_FLIGHT_MAX)
 
     def publish(
         self,
@@ -67,10 +78,11 @@
     async def _send_latest(self, entry: directory.InstanceRecord) -> None:
         last_sent: control.GroupLoad | None = None
         while self._latest is not None and self._latest is not last_sent:
-            last_sent = self._latest
-            if not await self._deliver(entry, last_sent):
-                self._confirmed.pop(entry.instance, None)
-                await self._deliver(entry, last_sent)
+            async with self._in_flight:
+                last_sent = self._latest
+                if not await self._deliver(entry, last_sent):
+                    self._confirmed.pop(entry.instance, None)
+                    await self._deliver(entry, last_sent)
         self._tasks.pop(entry.instance, None)
 
     async def _deliver(
@@ -128,6 +140,7 @@
     loads: Sequence[tuple[str, int, int]],
     *,
     is_open: bool,
+    times: expertmap.GroupTimes,
 ) -> control.GroupLoad:
     """Returns the message about a group.
 
@@ -135,11 +148,14 @@
         group: The group.
         loads: Address, running and waiting requests by rank.
         is_open: Whether its ranks are working.
+        times: Times of the group.
     """
     members = tuple(address for address, _running, _waiting in loads)
     return control.GroupLoad(
         group=group,
         is_open=is_open,
+        valid_ms=times.load_valid_ms,
+        avoid_ms=times.avoid_ms,
         members_digest=hashing.digest_names(*members),
         requests=tuple(running + waiting for _one, running, waiting in loads),
         members=members,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -149,8 +149,8 @@
 def test_reported_load_of_other_entries_occupies_slots():
     async def scenario():
         load = Load(targets=2, slots=3)
-        load.loads.store_report('t0', 3)
-        load.loads.store_report('t1', 1)
+        load.loads.store_report('t0', 3, valid_ms=1500)
+        load.loads.store_report('t1', 1, valid_ms=1500)
         places = [
             await load.admission.admit(load.demand(wait_ms=0))
             for _number in range(3)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -482,7 +482,9 @@
         script += [fakes.events(3, 4) for _one in range(streams)]
         entry = fakes.Entry(script, held=fakes.table(), slots=streams)
         entry.entries = 9
-        entry.loads.store_report(identifiers.TargetId('drafts-0'), 0)
+        entry.loads.store_report(
+            identifiers.TargetId('drafts-0'), 0, valid_ms=1500
+        )
         entry.loads.avoid(identifiers.TargetId('drafts-1'), 200)
         sends = [
             asyncio.ensure_future(
@@ -492,7 +494,9 @@
         ]
         await asyncio.sleep(0.3)
         assert {call.target for call in entry.port.calls} == {'drafts-0'}
-        entry.loads.store_report(identifiers.TargetId('drafts-1'), 0)
+        entry.loads.store_report(
+            identifiers.TargetId('drafts-1'), 0, valid_ms=1500
+        )
         await stall(entry, after_s=0)
         ends = await asyncio.gather(*sends)
         assert [one.verdict for one, _caller in ends] == [RAN] * streams
--- a/tests/test_group_coordinator.py
+++ b/tests/test_group_coordinator.py
@@ -55,6 +55,7 @@
     def new_coordinator(self):
         return expertmap.GroupCoordinator(
             group=engine_group.GROUP,
+            size=SIZE,
             own_rank=0,
             ranks=self.ranks,
             clock=self.clock,
--- a/tests/test_group_traffic.py
+++ b/tests/test_group_traffic.py
@@ -1,6 +1,7 @@
 """Tests the control traffic of the coordinator of a large group."""
 
 import asyncio
+import functools
 import itertools
 import random
 
@@ -23,57 +24,78 @@
 from tests.fakes import host as hosts
 from tests.fakes import network as networks
 
-RANKS = 32
-ENTRIES = 39
-SETS = 12
-EXPERTS = 128
-PLACES = 5
-#: The link of a machine with an engine has 4 Mbit/s.
-LINK_BYTES_PER_S = 500_000
-#: Largest share of it for control traffic; requests need the rest.
+#: Largest share of a link for control traffic; requests need the rest.
 LINK_SHARE_MAX = 0.25
 #: Interval at which the popularity of experts shifts.
 SHIFT_S = 3.5
 #: Mean selections of an expert at one rank per second.
 SELECTIONS_PER_S = 500
 
-DOCUMENT = {
-    'kind': 'configuration',
-    'version': 1,
-    'forwarding': {
-        'operators_version': 1,
-        'routes': [],
-        'services': [
-            {
-                'service': 'drafting',
-                'engine': {
-                    'slots': 5,
-                    'expert_sets': SETS,
-                    'experts_per_set': EXPERTS,
-                    'places_per_rank': PLACES,
-                    'new_experts_max': 1,
-                    'expert_copy_ms': 20,
-                },
+
+class Sheet(msgspec.Struct, frozen=True, kw_only=True):
+    """Size of a deployment; the link is that of a machine with an engine."""
+
+    ranks: int
+    entries: int
+    sets: int
+    experts: int
+    places: int
+    link_bytes_per_s: int
+
+    @property
+    def document(self):
+        engine = {
+            'slots': 5,
+            'expert_sets': self.sets,
+            'experts_per_set': self.experts,
+            'places_per_rank': self.places,
+            'new_experts_max': 1,
+            'expert_copy_ms': 20,
+        }
+        return {
+            'kind': 'configuration',
+            'version': 1,
+            'forwarding': {
+                'operators_version': 1,
+                'routes': [],
+                'services': [{'service': 'drafting', 'engine': engine}],
             },
-        ],
-    },
-}
+        }
+
+
+GROWN = Sheet(
+    ranks=32,
+    entries=39,
+    sets=12,
+    experts=128,
+    places=5,
+    link_bytes_per_s=500_000,
+)
+LARGE = Sheet(
+    ranks=96,
+    entries=98,
+    sets=16,
+    experts=192,
+    places=3,
+    link_bytes_per_s=375_000,
+)
 
 
 class Engine(engine_group.FakeControl):
     """A rank whose requests select some experts far more often."""
 
-    def __init__(self, group, rank):
+    def __init__(self, group, rank, sheet):
         super().__init__(group, rank, is_remote=False)
+        self.sheet = sheet
         self.rank = rank
         self.random = random.Random(rank)
-        self.selected = [0] * (SETS * EXPERTS)
+        self.selected = [0] * (sheet.sets * sheet.experts)
         self.counted_until_s = asyncio.get_running_loop().time()
 
     async def counts(self):
         now_s = asyncio.get_running_loop().time()
         spent_s, self.counted_until_s = now_s - self.counted_until_s, now_s
-        popular = popularity(int(now_s / SHIFT_S))
+        popular = popularity(int(now_s / SHIFT_S), len(self.selected))
         self.selected = [
             before + round(share * spent_s * self.random.uniform(0.8, 1.2))
             for before, share in zip(self.selected, popular, strict=True)
@@ -83,15 +105,17 @@
     async def experts(self):
         layout = self._engine.map[1]
         if layout is None:
-            held = tuple(range(self.rank, EXPERTS, RANKS))
-            return (held,) * SETS
+            sheet = self.sheet
+            held = tuple(range(self.rank, sheet.experts, sheet.ranks))
+            return (held,) * sheet.sets
         return tuple(ranks[self.rank] for ranks in layout)
 
 
-def popularity(interval):
+@functools.cache
+def popularity(interval, experts):
     """Returns selections per second by set and expert."""
     generator = random.Random(interval)
-    weights = [generator.random() ** -0.6 for _ in range(SETS * EXPERTS)]
+    weights = [generator.random() ** -0.6 for _ in range(experts)]
     mean = sum(weights) / len(weights)
     return [SELECTIONS_PER_S * weight / mean for weight in weights]
 
@@ -99,13 +123,15 @@
 class SimulatedFleet:
     """A simulated group with its guards and all entries."""
 
-    def __init__(self):
+    def __init__(self, sheet=GROWN):
+        self.sheet = sheet
         self.network = networks.Network(random.Random(1))
         self.platform = clusters.FakePlatform()
-        self.platform.publish(DOCUMENT)
-        self.group = engine_group.FakeGroup(RANKS, seed=1)
+        self.platform.publish(sheet.document)
+        self.group = engine_group.FakeGroup(sheet.ranks, seed=1)
         self.engines = {
-            f'side-{rank}:80': Engine(self.group, rank) for rank in range(RANKS)
+            f'side-{rank}:80': Engine(self.group, rank, sheet)
+            for rank in range(sheet.ranks)
         }
         self.hosts = {}
         self.guards = []
@@ -114,9 +140,9 @@
 
     async def start(self):
         self.group_run = asyncio.ensure_future(self.group.run())
-        for number in range(ENTRIES):
+        for number in range(self.sheet.entries):
             await self.add_entry(f'entry-{number}')
-        for rank in range(RANKS):
+        for rank in range(self.sheet.ranks):
             await self.add_guard(rank)
 
     async def add_entry(self, name):
@@ -159,7 +185,7 @@
     async def add_guard(self, rank):
         name = f'side-{rank}'
         host = self.hosts[name] = hosts.Host(name)
-        self.network.links[name] = networks.Link(LINK_BYTES_PER_S)
+        self.network.links[name] = networks.Link(self.sheet.link_bytes_per_s)
         guard = processes.GroupGuard(
             own=processes.GroupGuardSettings(
                 instance=identifiers.InstanceId(name),
@@ -189,16 +215,25 @@
         return self.group.engines[0].map[0]
 
 
+@pytest.mark.parametrize(
+    ('sheet', 'settle_s', 'measure_s'),
+    [(GROWN, 15, 20), (LARGE, 12, 8)],
+    ids=['grown', 'large'],
+)
 @hosts.virtual
-async def test_control_traffic_of_a_coordinator_does_not_saturate_its_link():
-    simulation = SimulatedFleet()
+async def test_control_traffic_of_a_coordinator_does_not_saturate_its_link(
+    sheet, settle_s, measure_s
+):
+    simulation = SimulatedFleet(sheet)
     await simulation.start()
-    await asyncio.sleep(15)
+    await asyncio.sleep(settle_s)
     before, version = simulation.carried_bytes(), simulation.map_version
-    await asyncio.sleep(20)
-    bytes_per_s = (simulation.carried_bytes() - before) / 20
+    await asyncio.sleep(measure_s)
+    bytes_per_s = (simulation.carried_bytes() - before) / measure_s
     assert simulation.map_version > version
-    assert bytes_per_s <= LINK_SHARE_MAX * LINK_BYTES_PER_S
+    assert bytes_per_s <= LINK_SHARE_MAX * sheet.link_bytes_per_s
+    ranks = {f'side-{rank}:80' for rank in range(sheet.ranks)}
+    assert set(simulation.received_loads['entry-5'][-1][1]) == ranks
 
 
 @pytest.mark.parametrize('entry', ['entry-5', 'entry-38'])
@@ -212,7 +247,7 @@
     simulation.received_loads.pop(entry)
     await simulation.add_entry(entry)
     await asyncio.sleep(3)
-    engines = {f'side-{rank}:80' for rank in range(RANKS)}
+    engines = {f'side-{rank}:80' for rank in range(GROWN.ranks)}
     assert set(simulation.received_loads[entry][-1][1]) == engines
 
 
@@ -265,9 +300,10 @@
 def layout_of(number):
     """Returns a layout whose first rank differs by number."""
     sets = [
-        [[rank, rank + RANKS] for rank in range(RANKS)] for _one in range(SETS)
+        [[rank, rank + GROWN.ranks] for rank in range(GROWN.ranks)]
+        for _one in range(GROWN.sets)
     ]
-    sets[0][0] = [0, RANKS, number + 2 * RANKS]
+    sets[0][0] = [0, GROWN.ranks, number + 2 * GROWN.ranks]
     return tuple(tuple(tuple(experts) for experts in ranks) for ranks in sets)
 
 
@@ -306,11 +342,15 @@
 def test_addresses_from_two_coordinators_of_a_group_do_not_displace_each_other():
     known = processes.RankAddressCache()
     group = identifiers.GroupId('g')
-    first = _group_load.load_message(group, [('a:1', 1, 0)], is_open=True)
+    times = expertmap.group_times(2)
+    first = _group_load.load_message(
+        group, [('a:1', 1, 0)], is_open=True, times=times
+    )
     second = _group_load.load_message(
         group,
         [('a:1', 2, 0), ('b:1', 3, 0)],
         is_open=True,
+        times=times,
     )
     for load in (first, second):
         assert known.take(load) == load.members
--- a/tests/test_shared_targets.py
+++ b/tests/test_shared_targets.py
@@ -91,7 +91,9 @@
             self.trackers, self.admissions, strict=True
         ):
             for name, total in totals.items():
-                tracker.store_report(name, total, sharers=ENTRIES)
+                tracker.store_report(
+                    name, total, valid_ms=1500, sharers=ENTRIES
+                )
             admission.recheck_queues()
 
     async def send(self, entry):
