Watches of the target list pause by the operators' bound on draining

The pause is a fifth of the time after which a leaving engine must get no new work: 0.4 s as before at 2 s, 0.8 s at 4 s.

--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -254,7 +254,9 @@
     for number in range(5):
         platform.put(f'servers/i-{number}', SERVER)
     platform.put('servers/i-truncated', b'{')
-    updates = sources.TargetList(client=platform.client, log=LOG).follow()
+    updates = sources.TargetList(
+        client=platform.client, log=LOG, drain_ms=2000
+    ).follow()
 
     async def next_of(kind):
         async for update in updates:
@@ -286,7 +288,9 @@
 ):
     monkeypatch.setattr(sources, '_WATCH_WAIT_MS', 100)
     platform.put('servers/i-0', SERVER)
-    updates = sources.TargetList(client=platform.client, log=LOG).follow()
+    updates = sources.TargetList(
+        client=platform.client, log=LOG, drain_ms=2000
+    ).follow()
     await anext(updates)
     await anext(updates)
     platform.bytes_per_s = 250_000
@@ -703,3 +707,21 @@
     assert sent_bytes < 64_000_000
     await calls.close()
     server.close()
+
+
+@pytest.mark.parametrize('drain_ms', [2000, 4000])
+async def test_leaving_engine_is_known_long_before_it_must_get_no_work(
+    platform, drain_ms
+):
+    platform.put('servers/i-0', SERVER)
+    updates = sources.TargetList(
+        client=platform.client, log=LOG, drain_ms=drain_ms
+    ).follow()
+    await anext(updates)
+    await anext(updates)
+    platform.put('servers/i-0', {**SERVER, 'seq': 5, 'state': 'draining'})
+    async with asyncio.timeout(drain_ms / 1000 / 2):
+        async for update in updates:
+            if isinstance(update, targets.TargetChange):
+                break
+    assert update.record.state is targets.TargetState.DRAINING
