--- a/src/carobslip/adapters/control_nng.py
+++ b/src/carobslip/adapters/control_nng.py
@@ -13,7 +13,10 @@
 _SOCKETS_MAX: Final = 384
 #: Sockets that were last used longer ago are closed.
 _IDLE_S: Final = 10.0
-_WORKERS: Final = 32
+_WORKERS: Final = 64
+#: Answers to one peer that may wait to be sent. Further requests of a peer that
+#: reads no answers are dropped, so that it cannot occupy all workers.
+_UNSENT_MAX: Final = 4
 #: Timeout for sending an answer, which is then dropped: the request of the peer
 #: has timed out by then, and other requests wait for the worker.
 _SEND_TIMEOUT_S: Final = 1.0
@@ -50,6 +53,7 @@
             collections.OrderedDict()
         )
         self._used_s: dict[str, float] = {}
+        self._unsent: collections.Counter[int] = collections.Counter()
         self._server: Any = None
         self._is_closing = False
         self._workers: list[asyncio.Task[None]] = []
@@ -129,9 +133,15 @@
         _raise_swallowed_cancellation()
 
     async def _answer_one(self, context: Any, handler: control.Handler) -> None:
-        frame = await context.arecv()
+        message = await context.arecv_msg()
+        peer = 0 if message.pipe is None else message.pipe.id
+        if self._unsent[peer] >= _UNSENT_MAX:
+            self.dropped_total += 1
+            return
+        frame = message.bytes
         answer = await handler(frame)
         self.received_bytes += len(frame)
+        self._unsent[peer] += 1
         try:
             async with asyncio.timeout(_SEND_TIMEOUT_S):
                 await context.asend(answer)
@@ -139,6 +149,10 @@
             self.dropped_total += 1
         else:
             self.sent_bytes += len(answer)
+        finally:
+            self._unsent[peer] -= 1
+            if not self._unsent[peer]:
+                self._unsent.pop(peer)
 
     def _socket(self, address: str) -> Any:
         socket = self._sockets.get(address)
