Tests of a stream that sends a byte now and then, and of a slow sound one

Reports of other operators: stalled streams that sent a byte now and then never ended, slow but sound ones were cut. Neither happens here; both are now tested.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -322,6 +322,32 @@
     virtual.run(scenario)
 
 
+def test_stream_that_sends_a_byte_now_and_then_ends_at_the_time_limit():
+    async def scenario():
+        answer = fakes.events(1)
+        answer._parts += (1.0, b':') * 600
+        entry = fakes.Entry([answer], held=fakes.table())
+        outcome, caller = await entry.send('/note/x', patience_ms=60_000)
+        assert outcome.verdict is MAY_HAVE_RUN
+        assert not caller.is_whole
+        assert entry.clock.now_ms() <= 8001
+        assert entry.port.cancelled == [entry.port.calls[0].target]
+
+    virtual.run(scenario)
+
+
+def test_slow_stream_that_sends_whole_events_is_not_cut():
+    async def scenario():
+        answer = fakes.events_with_pauses(1, 1.5, 2, 1.5, 3, 1.5, 4)
+        entry = fakes.Entry([answer], held=fakes.table())
+        outcome, caller = await entry.send('/note/x', patience_ms=60_000)
+        assert outcome.verdict is RAN
+        assert caller.is_whole
+        assert len(entry.port.calls) == 1
+
+    virtual.run(scenario)
+
+
 def test_repeats_stay_within_the_share_of_this_entry():
     async def scenario():
         entry = fakes.Entry(['lost'] * 200, held=fakes.table())
