Orders to a large group are sent a few at a time; layouts are asked by rank

Ruled out: other coordinators (no fence was raised), silent engines. Now 24 orders are in flight and only ranks whose answer is missing are asked again.

--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -27,6 +27,8 @@
 _RECOVER_AFTER_MS: Final = 200.0
 #: A report that arrives this long after a switch was made after it.
 _REPORT_TRANSIT_MS: Final = 100.0
+#: Requests for the experts of a rank; a lost answer concerns that rank alone.
+_LAYOUT_ATTEMPTS: Final = 3
 #: Decay factor of older selection counts per period; the popularity of experts
 #: shifts every few seconds.
 _DECAY_FACTOR: Final = 0.3
@@ -128,6 +130,7 @@
         self._failed_probes: dict[int, int] = {}
         self._began_ms = clock.now_ms()
         self._switch_began_ms = 0.0
+        self._waiting_for = ''
         self._switch_ended_ms = -_REPORT_TRANSIT_MS
         self._times = _group_times.group_times(size)
 
@@ -205,6 +208,7 @@
             return
         if not self.is_open:
             self._layout = None
+            self._note_waiting('not all ranks report an open group')
             self._recover_unfinished()
             return
         report = self._fresh_reports()[0]
@@ -399,18 +403,59 @@
             fence=self._fence,
             with_experts=True,
         )
-        answers = await asyncio.gather(
-            *(self._ranks.order(rank, order) for rank in range(size)),
-        )
-        self._fence = max(
-            self._fence,
-            1 + max(answer.fence for answer in answers),
+        told: dict[int, _orders.RankAnswer] = {}
+        for _ in range(_LAYOUT_ATTEMPTS):
+            asked = [rank for rank in range(size) if rank not in told]
+            answers = await asyncio.gather(
+                *(self._ranks.order(rank, order) for rank in asked),
+            )
+            self._fence = max(
+                self._fence,
+                1 + max(answer.fence for answer in answers),
+            )
+            told.update(
+                (rank, answer)
+                for rank, answer in zip(asked, answers, strict=True)
+                if answer.experts
+            )
+            if len(told) == size:
+                return self._join_layout(told)
+        self._note_waiting(
+            'not all ranks told their experts',
+            without_experts=[rank for rank in range(size) if rank not in told],
         )
-        by_rank = [answer.experts for answer in answers if answer.experts]
-        if len(by_rank) == size and _have_same_map(answers):
-            return _group_map.join_ranks(by_rank)
         return None
 
+    def _join_layout(
+        self,
+        told: dict[int, _orders.RankAnswer],
+    ) -> _group_map.Layout | None:
+        answers = [told[rank] for rank in sorted(told)]
+        if not _have_same_map(answers):
+            self._note_waiting('ranks have different maps')
+            return None
+        self._waiting_for = ''
+        return _group_map.join_ranks([answer.experts for answer in answers])
+
+    def _note_waiting(self, why: str, **inputs: object) -> None:
+        """Records why no layout is planned, once for each reason in a row."""
+        if why == self._waiting_for:
+            return
+        self._waiting_for = why
+        now_ms = self._clock.now_ms()
+        self._log.write(
+            observability.Event.MAP_WAITING,
+            group=self.group,
+            epoch=self._epoch,
+            why=why,
+            silent_ms={
+                rank: round(now_ms - latest.received_ms)
+                for rank, latest in sorted(self._latest.items())
+                if now_ms - latest.received_ms > self._times.probe_after_ms
+            },
+            **inputs,
+        )
+
     def _has_unfinished_switch(self) -> bool:
         """Tells whether a hold or a partly armed map is overdue."""
         reports = self._reports_after_switch()
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -192,6 +192,11 @@
     )
     MAP_SWITCHED = (503, 'map-switched', 'A rank runs a new expert map.')
     MAP_ABORTED = (504, 'map-aborted', 'A proposed expert map was abandoned.')
+    MAP_WAITING = (
+        511,
+        'map-waiting',
+        'A coordinator cannot plan an expert map yet.',
+    )
 
     @property
     def code(self) -> int:
--- a/src/carobslip/processes/_group_peers.py
+++ b/src/carobslip/processes/_group_peers.py
@@ -1,5 +1,6 @@
 """Finds the other guards of a lock-step group and sends them orders."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Final
 
@@ -18,6 +19,9 @@
 #: A peer that did not answer is skipped for this time.
 _SKIP_MS: Final = 2000.0
 _ORDER_TIMEOUT_MS: Final = 250.0
+#: Orders in flight at the same time; the answers of all ranks together would
+#: wait in front of a low-bandwidth link for longer than the timeout.
+_ORDERS_IN_FLIGHT_MAX: Final = 24
 #: Timeout of a copy of experts, as a multiple of its expected duration.
 _COPY_TIMEOUT_FACTOR: Final = 4
 
@@ -52,6 +56,7 @@
         self._log = log
         self._skipped_until_ms: dict[identifiers.InstanceId, float] = {}
         self._layouts = expertmap.LayoutWriter()
+        self._in_flight = asyncio.Semaphore(_ORDERS_IN_FLIGHT_MAX)
 
     def usable(
         self,
@@ -191,15 +196,16 @@
         layout = None
         if order.layout:
             layout = self._layouts.write(order.layout, is_whole=is_whole)
-        return await self._member.node.ask(
-            peer.control_address,
-            control.OrderRank(
-                order=msgspec.structs.replace(order, layout=()),
-                layout=layout,
-            ),
-            answer=control.RankOrdered,
-            timeout_ms=timeout_ms,
-        )
+        async with self._in_flight:
+            return await self._member.node.ask(
+                peer.control_address,
+                control.OrderRank(
+                    order=msgspec.structs.replace(order, layout=()),
+                    layout=layout,
+                ),
+                answer=control.RankOrdered,
+                timeout_ms=timeout_ms,
+            )
 
     async def _order_directly(
         self,
