Gain and number of copies follow the size of a group

A copy had to lower the imbalance of a set by 15 in 100, whatever the size. At 96 ranks several ranks are nearly as loaded as the worst one, so no single copy gains that much and planning stopped at 1.95 times the mean; with the bound scaled by the ranks it reaches 1.42 (tests/test_balance.py: 1.6 in four switches, failed before). Groups of 24 and 32 ranks may copy two experts a rank where the engines' bound and the time of a copy allow it; a switch names at most 96 copies, since every rank is told all of them.

Ruled out for 96 ranks: two copies a rank (119 KB/s).

--- a/src/carobslip/expertmap/__init__.py
+++ b/src/carobslip/expertmap/__init__.py
@@ -4,6 +4,7 @@
     BalanceBounds,
     BalancePlan,
     balance,
+    copies_per_switch,
 )
 from carobslip.expertmap._coordinator import (
     Coordinator,
@@ -106,6 +107,7 @@
     'SwitchResult',
     'balance',
     'is_worth_moving',
+    'copies_per_switch',
     'group_times',
     'join_ranks',
     'moved_replicas',
--- a/src/carobslip/expertmap/_balance.py
+++ b/src/carobslip/expertmap/_balance.py
@@ -22,13 +22,25 @@
 _RANKS_TRIED: Final = 4
 
 
+#: Time for the copies of one switch.
+_COPIES_MS: Final = 75.0
+#: Copies of one switch in a whole group: a coordinator tells every rank all of
+#: them over its low-bandwidth link.
+_GROUP_COPIES_MAX: Final = 96
+#: Ranks for which ``gain_min`` of the bounds holds. In a larger group several
+#: ranks are nearly as loaded as the most loaded one, so one copy lowers the
+#: imbalance by a smaller share.
+_GAIN_RANKS: Final = 8
+
+
 class BalanceBounds(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds of one new layout.
 
     Attributes:
         places_per_rank: Experts of a set that fit on a rank.
         copies_per_rank: New experts that a rank may get.
-        gain_min: Relative fall of a set's imbalance that justifies a copy.
+        gain_min: Relative fall of a set's imbalance that justifies a copy in a
+            group of up to eight ranks; less is enough in a larger group.
     """
 
     places_per_rank: int
@@ -36,6 +48,26 @@
     gain_min: float = 0.15
 
 
+def copies_per_switch(
+    *,
+    size: int,
+    expert_copy_ms: float,
+    new_experts_max: int,
+) -> int:
+    """Returns how many experts a rank may copy in one switch.
+
+    A switch waits for its copies, and passes take longer meanwhile.
+
+    Args:
+        size: Ranks in the group.
+        expert_copy_ms: Time to copy one expert.
+        new_experts_max: New experts of a set that one order may add; 0 if
+            unknown.
+    """
+    in_time = int(_COPIES_MS / max(1.0, expert_copy_ms))
+    return max(1, min(in_time, _GROUP_COPIES_MAX // size, new_experts_max))
+
+
 class BalancePlan(msgspec.Struct, frozen=True, kw_only=True):
     """A proposed layout.
 
@@ -274,7 +306,8 @@
     # A pass waits for the most loaded rank, so the maximum must not rise.
     if max(state.loads_after(best)) > max(state.loads):
         return None
-    allowed = state.imbalance * (1 - bounds.gain_min)
+    gain_min = bounds.gain_min * min(1.0, _GAIN_RANKS / len(room))
+    allowed = state.imbalance * (1 - gain_min)
     return best if state.imbalance_after(best) < allowed else None
 
 
--- a/src/carobslip/expertmap/_group_times.py
+++ b/src/carobslip/expertmap/_group_times.py
@@ -14,7 +14,7 @@
 _COUNTING_RANKS = 12
 #: Shortest time between two switches, per rank: each switch costs a coordinator
 #: some messages with every rank.
-_SWITCH_MS_PER_RANK = 20.0
+_SWITCH_MS_PER_RANK = 35.0
 #: Report periods, or load periods, within each time. A single lost message
 #: changes no belief.
 _PROBE_PERIODS = 2.5
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -350,7 +350,9 @@
         update: expertmap.RankUpdate,
     ) -> None:
         group_coordinator = self._get_or_create_group_coordinator(report)
-        group_coordinator.settings = self._group_coordinator_settings()
+        group_coordinator.settings = self._group_coordinator_settings(
+            report.size,
+        )
         group_coordinator.record_update(update)
         group_coordinator.probe_and_rebalance()
         self._publish_load_if_due(group_coordinator, report.size)
@@ -377,6 +379,7 @@
 
     def _group_coordinator_settings(
         self,
+        size: int,
     ) -> expertmap.GroupCoordinatorSettings | None:
         engine = self._engine_figures()
         if engine is None or not engine.expert_sets:
@@ -387,6 +390,11 @@
             slots=engine.slots,
             bounds=expertmap.BalanceBounds(
                 places_per_rank=engine.places_per_rank,
+                copies_per_rank=expertmap.copies_per_switch(
+                    size=size,
+                    expert_copy_ms=engine.expert_copy_ms,
+                    new_experts_max=engine.new_experts_max,
+                ),
             ),
         )
 
