A coordinator never uses a map version twice

Versions now go up over all switches of a coordinator, and its first switch asks all ranks.

test_old_reports_do_not_let_ranks_prepare_two_maps_of_one_version failed without the new bound (version 1024 twice).

--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -130,6 +130,7 @@
         self._failed_probes: dict[int, int] = {}
         self._began_ms = clock.now_ms()
         self._switch_began_ms = 0.0
+        self._version_used = 0
         self._waiting_for = ''
         self._switch_ended_ms = -_REPORT_TRANSIT_MS
         self._times = _group_times.group_times(size)
@@ -349,6 +350,7 @@
             fence=self._fence,
             clock=self._clock,
             step_margin=self._step_margin,
+            version_min=self._version_used,
         )
         if plan is None or layout is None:
             result = await switch.recover(layout)
@@ -356,8 +358,9 @@
             result = await switch.switch(
                 plan.layout,
                 layout,
-                known=self._reports_after_switch(),
+                known=self._known_reports(),
             )
+        self._version_used = switch.version
         self._switch_ended_ms = self._clock.now_ms()
         self._adapt_margin(switch.lost_orders)
         switched = result is _switch.SwitchResult.SWITCHED
@@ -472,6 +475,14 @@
             self._unfinished_since_ms = now_ms
         return now_ms - self._unfinished_since_ms >= _RECOVER_AFTER_MS
 
+    def _known_reports(self) -> list[_group_map.RankReport]:
+        """Returns the reports that a switch may use instead of asking again.
+
+        There are none before the first switch: an earlier coordinator of this
+        rank may have used versions that no report shows yet.
+        """
+        return self._reports_after_switch() if self._version_used else []
+
     def _reports_after_switch(self) -> list[_group_map.RankReport]:
         """Returns fresh reports that were not made during the last switch."""
         return self._reports_since(
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -73,6 +73,8 @@
         fence: Fencing number of this coordinator.
         clock: Monotonic time.
         step_margin: Passes between the last one begun and that of a switch.
+        version_min: Highest version that this coordinator has used; engines
+            may hold a map of that version although no report shows it yet.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         fence: int,
         clock: clocks.Clock,
         step_margin: int = STEP_MARGIN_MIN,
+        version_min: int = 0,
     ) -> None:
         self._step_margin = step_margin
         self.lost_orders = 0
@@ -96,7 +99,7 @@
         self._epoch = epoch
         self._fence = fence
         self._clock = clock
-        self._version = 0
+        self.version = version_min
         self.highest_fence = fence
         self.why = ''
 
@@ -498,9 +501,9 @@
             (max(one.map_version, one.prepared or 0) for one in reports),
             default=0,
         )
-        base = (max(known, self._version) // _VERSION_STEP + 1) * _VERSION_STEP
-        self._version = base + self._own_rank
-        return self._version
+        base = (max(known, self.version) // _VERSION_STEP + 1) * _VERSION_STEP
+        self.version = base + self._own_rank
+        return self.version
 
 
 def _reports_in(
--- a/tests/test_group_switch.py
+++ b/tests/test_group_switch.py
@@ -48,7 +48,7 @@
             guard.expert_copy_ms = 10
         self.passes = asyncio.ensure_future(self.group.run())
 
-    def switch(self, *, own_rank, fence):
+    def switch(self, *, own_rank, fence, version_min=0):
         return expertmap.GroupSwitch(
             ranks=engine_group.FakeRanks(
                 self.group,
@@ -61,6 +61,7 @@
             epoch=1,
             fence=fence,
             clock=self.clock,
+            version_min=version_min,
         )
 
     def is_settled(self):
@@ -102,6 +103,30 @@
     virtual.run(scenario)
 
 
+def test_old_reports_do_not_let_ranks_prepare_two_maps_of_one_version():
+    async def scenario():
+        simulation = SimulatedGroup(seed=1)
+        engines = simulation.group.engines
+        known = [engine.report_now() for engine in engines]
+        simulation.group.frozen.add(SIZE - 1)
+        first = simulation.switch(own_rank=0, fence=1)
+        result = await first.switch(_layout(1), PRESENT, known=known)
+        assert result is expertmap.SwitchResult.KEPT
+        assert engines[1].prepared == (first.version, _layout(1))
+        simulation.group.thaw()
+        second = simulation.switch(
+            own_rank=0,
+            fence=1,
+            version_min=first.version,
+        )
+        await second.switch(_layout(2), PRESENT, known=known)
+        assert second.version > first.version
+        await simulation.check(1)
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
 @pytest.mark.parametrize('seed', range(60))
 def test_lost_and_late_orders_never_split_the_group(seed):
     async def scenario():
