--- a/src/carobslip/membership/_prober.py
+++ b/src/carobslip/membership/_prober.py
@@ -48,8 +48,9 @@
 class Prober:
     """Detects failed members.
 
-    Each process probes the few members that it monitors in turn. A member that answers neither a direct nor an indirect probe is suspected,
-    and is marked dead unless it refutes the suspicion in time.
+    Each process probes the few members that it monitors in turn. A member that
+    answers neither a direct nor an indirect probe is suspected, and is marked
+    dead unless it refutes the suspicion in time.
 
     Args:
         node: Control traffic.
--- a/src/carobslip/processes/_group_load.py
+++ b/src/carobslip/processes/_group_load.py
@@ -27,8 +27,9 @@
 class GroupLoadPublisher:
     """Sends each entry the latest load.
 
-    Each entry has at most one message in flight, all entries together a few. The addresses of the ranks
-    are sent only to entries that have not confirmed them.
+    Each entry has at most one message in flight, all entries together a few.
+    The addresses of the ranks are sent only to entries that have not confirmed
+    them.
 
     Args:
         node: Sends control messages.
