--- a/src/carobslip/expertmap/_group_times.py
+++ b/src/carobslip/expertmap/_group_times.py
@@ -1,36 +1,39 @@
 """Periods and timeouts of a group's control messages, by group size."""
 
+import functools
+from typing import Final
+
 import msgspec
 
 #: Period of the reports of a group of up to _PERIOD_RANKS ranks. Larger groups
 #: have a longer period, so that a coordinator gets at most the same number of
 #: reports per second over its low-bandwidth link.
-_PERIOD_MS = 100.0
-_PERIOD_RANKS = 12
+_PERIOD_MS: Final = 100.0
+_PERIOD_RANKS: Final = 12
 #: Periods between two load messages to entries.
-_LOAD_PERIODS = 2
+_LOAD_PERIODS: Final = 2
 #: Ranks of a group that report expert counts. Requests are spread evenly over
 #: the ranks, so the counts of some of them show the popularity of all experts.
-_COUNTING_RANKS = 12
+_COUNTING_RANKS: Final = 12
 #: Shortest time between two switches, per rank: each switch costs a coordinator
 #: some messages with every rank.
-_SWITCH_MS_PER_RANK = 35.0
+_SWITCH_MS_PER_RANK: Final = 35.0
 #: Report periods, or load periods, within each time. A single lost message
 #: changes no belief.
-_PROBE_PERIODS = 2.5
-_FRESH_PERIODS = 3.5
-_RANK_TIMEOUT_PERIODS = 5
-_LOAD_VALID_PERIODS = 2.5
-_AVOID_PERIODS = 2.5
+_PROBE_PERIODS: Final = 2.5
+_FRESH_PERIODS: Final = 3.5
+_RANK_TIMEOUT_PERIODS: Final = 5
+_LOAD_VALID_PERIODS: Final = 2.5
+_AVOID_PERIODS: Final = 2.5
 #: Lower limits, for small groups with short periods.
-_PROBE_MIN_MS = 250.0
-_FRESH_MIN_MS = 500.0
-_RANK_TIMEOUT_MIN_MS = 1000.0
-_LOAD_VALID_MIN_MS = 1500.0
-_AVOID_MIN_MS = 500.0
+_PROBE_MIN_MS: Final = 250.0
+_FRESH_MIN_MS: Final = 500.0
+_RANK_TIMEOUT_MIN_MS: Final = 1000.0
+_LOAD_VALID_MIN_MS: Final = 1500.0
+_AVOID_MIN_MS: Final = 500.0
 #: Renewals that must fit into the time for which a report or load counts.
-_REPORT_RENEWALS_MIN = 3
-_LOAD_RENEWALS_MIN = 2
+_REPORT_RENEWALS_MIN: Final = 3
+_LOAD_RENEWALS_MIN: Final = 2
 
 
 class GroupTimes(msgspec.Struct, frozen=True, kw_only=True):
@@ -75,6 +78,7 @@
             raise ValueError('silent ranks are not first probed, then lost')
 
 
+@functools.cache
 def group_times(size: int) -> GroupTimes:
     """Returns the times of a group.
 
--- a/tests/test_published_values.py
+++ b/tests/test_published_values.py
@@ -18,6 +18,7 @@
     'cold_factor': 1.5,
     'cold_slack': 5,
     'grace_s': 8,
+    'drain_ms': 2000,
     'ttl_max_s': 5,
 }
 UNUSUAL = (0, 0.5, 7.25, 10**9, None)
