Lines of lost attempts name the parts of the prompt and what had arrived

Cause: entries did not read the parts of a prompt, so the logs could not tell a request that crashes engines from one beside it. No decision changes.

--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -218,6 +218,7 @@
             fault=outcome.explanation,
             took_ms=round(took_ms),
             list_revision=self._registry.revision,
+            shared_parts=pending.request.shared_parts,
             **call.progress.fields(self._context.clock.now_ms()),
         )
         return outcome
--- a/src/carobslip/forwarding/_ports.py
+++ b/src/carobslip/forwarding/_ports.py
@@ -35,11 +35,15 @@
             0 for a reused one.
         unconfirmed_bytes: Bytes that the target's machine had not acknowledged
             when the call was abandoned; None if it ended otherwise.
+        received_bytes: Bytes of the answer's body that have arrived.
+        events: Complete events of a stream among them.
     """
 
     started_ms: float = 0
     connect_ms: float | None = None
     unconfirmed_bytes: int | None = None
+    received_bytes: int = 0
+    events: int = 0
 
     def fields(self, now_ms: float) -> dict[str, float | int | None]:
         """Returns the progress as fields of a log line."""
@@ -48,6 +52,8 @@
             'call_ms': round(now_ms - self.started_ms),
             'connect_ms': None if connect_ms is None else round(connect_ms, 1),
             'unconfirmed_bytes': self.unconfirmed_bytes,
+            'received_bytes': self.received_bytes,
+            'events': self.events,
         }
 
 
--- a/src/carobslip/forwarding/_relay.py
+++ b/src/carobslip/forwarding/_relay.py
@@ -71,10 +71,10 @@
         splitter = _events.EventSplitter()
         async for content in answer.chunks():
             self._note_received(call, content)
+            complete = splitter.feed(content)
+            call.progress.events += len(complete)
             fresh = [
-                event.raw
-                for event in splitter.feed(content)
-                if _is_next(pending, event)
+                event.raw for event in complete if _is_next(pending, event)
             ]
             if len(splitter.rest) > _EVENT_MAX_BYTES:
                 raise guard.TargetLost('an event is too long')
@@ -88,6 +88,7 @@
 
     def _note_received(self, call: _calls.Call, content: bytes) -> None:
         call.check()
+        call.progress.received_bytes += len(content)
         if content:
             self._stalls.note_received(call.place.target)
 
--- a/src/carobslip/forwarding/_request.py
+++ b/src/carobslip/forwarding/_request.py
@@ -24,6 +24,7 @@
         prompt_tokens: Prompt size that the caller states; 0 if none.
         answer_tokens_max: Limit of generated tokens; 0 if not stated.
         last_event: The event after which the caller resumes a stream.
+        shared_parts: The parts of its prompt that other requests may share.
     """
 
     request_id: identifiers.RequestId
@@ -38,6 +39,7 @@
     prompt_tokens: int = 0
     answer_tokens_max: int = 0
     last_event: str | None = None
+    shared_parts: tuple[identifiers.PromptPart, ...] = ()
 
 
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/carobslip/identifiers/_names.py
+++ b/src/carobslip/identifiers/_names.py
@@ -20,5 +20,7 @@
 ModelId = NewType('ModelId', str)
 #: One request as a caller sees it.
 RequestId = NewType('RequestId', str)
+#: A part of a prompt, as callers name it; requests share parts.
+PromptPart = NewType('PromptPart', str)
 #: A caller's key for work that may run at most once, unique within its team.
 IdempotencyKey = NewType('IdempotencyKey', str)
