Requests whose prompt crashes targets are held back

Callers: while one request in twenty held a part of a prompt that crashes engines, most sound requests were refused or cut off, and such requests were sent on for as long as they came. Cause: nothing connected two crashes, and the request that was lost first was sent to a second engine.

Change: package crashes. Entries record each target that ended while requests without an event were at it, with the shared parts of their prompts, exchange these records at once and by a digest in every message, and derive which parts two crashes have in common. A whole answer clears the parts of its request; engines that fail together count once; a part that was answered shortly before needs four crashes. After one crash requests with its unproven parts are held back for five seconds, after a conviction for a minute, doubled for each further crash; then one entry after the other tries one. The refusal is 503, has not run, with a Retry-After; a request that was at the target itself is not sent again. A target counts as ended only if it refuses connections or answers as another start.

--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from carobslip import directory, expertmap, identifiers, targets
+from carobslip import crashes, directory, expertmap, identifiers, targets
 
 _NAME_MAX_CHARS = 128
 _MEMBERS_MAX = 64
@@ -186,6 +186,15 @@
     ] = ()
 
 
+class CrashReports(_Message, frozen=True, kw_only=True):
+    """Crashes that the sender knows of; the answer has the receiver's."""
+
+    records: Annotated[
+        tuple[crashes.CrashRecord, ...],
+        msgspec.Meta(max_length=crashes.CRASHES_MAX),
+    ] = ()
+
+
 class RankNewsPush(_Message, frozen=True, kw_only=True):
     """Reports the state of a rank to its group's coordinator."""
 
@@ -387,6 +396,7 @@
     FetchTargets
     | TargetList
     | GroupLoad
+    | CrashReports
     | RankNewsPush
     | OrderRank
     | RankOrdered
@@ -418,6 +428,8 @@
         configuration_age_ms: Time since that document was known to be the
             newest one.
         message: The content.
+        crashes_digest: Digest of the crashes that the sender knows of; None if
+            it keeps none.
     """
 
     protocol: int
@@ -426,3 +438,4 @@
     configuration_digest: int
     configuration_age_ms: float = 1e9
     message: Message
+    crashes_digest: int | None = None
--- a/src/carobslip/control/_node.py
+++ b/src/carobslip/control/_node.py
@@ -56,6 +56,8 @@
             log=log,
             pause_ms=fetch_pause_ms,
         )
+        self._crashes_digest: Callable[[], int | None] = _no_digest
+        self._on_crashes_differ: Callable[[_messages.Origin], None] = _ignore
         self.undecodable_total = 0
         self.failed_total = 0
         self.register_handler(_messages.FetchConfiguration, self._answer_fetch)
@@ -71,6 +73,20 @@
         """Registers the handler of one type of request."""
         self._handlers[kind] = handler
 
+    def compare_crashes(
+        self,
+        digest: Callable[[], int],
+        on_differ: Callable[[_messages.Origin], None],
+    ) -> None:
+        """Compares the crashes that are known with those of every sender.
+
+        Args:
+            digest: Returns the digest of what this process knows.
+            on_differ: Called with a sender that knows something else.
+        """
+        self._crashes_digest = digest
+        self._on_crashes_differ = on_differ
+
     async def start(self) -> None:
         """Starts answering requests at the origin's control address."""
         await self._transport.serve(
@@ -157,6 +173,7 @@
                 configuration_digest=digest,
                 configuration_age_ms=self.holder.age_ms(),
                 message=message,
+                crashes_digest=self._crashes_digest(),
             ),
         )
 
@@ -189,6 +206,9 @@
             envelope.origin.control_address,
             (envelope.configuration_version, envelope.configuration_digest),
         )
+        own = self._crashes_digest()
+        if own is not None and envelope.crashes_digest not in {None, own}:
+            self._on_crashes_differ(envelope.origin)
 
     def _note_confirmation(
         self,
@@ -230,3 +250,11 @@
         origin: _messages.Origin,
     ) -> _messages.Noted:
         return _messages.Noted()
+
+
+def _no_digest() -> None:
+    """Default of a process that keeps no crashes."""
+
+
+def _ignore(origin: _messages.Origin) -> None:
+    """Default of a process that keeps no crashes."""
--- a/src/carobslip/forwarding/__init__.py
+++ b/src/carobslip/forwarding/__init__.py
@@ -6,6 +6,7 @@
     ForwardingRules,
     ProcessContext,
 )
+from carobslip.forwarding._crash_watch import CrashWatch
 from carobslip.forwarding._events import EventSplitter, StreamEvent
 from carobslip.forwarding._forwarder import Forwarder
 from carobslip.forwarding._loads import LoadTracker
@@ -26,6 +27,7 @@
     'AnswerHead',
     'CallProgress',
     'Caller',
+    'CrashWatch',
     'Demand',
     'EventSplitter',
     'FleetView',
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -11,6 +11,7 @@
     _admission,
     _calls,
     _context,
+    _crash_watch,
     _loads,
     _pending_request,
     _ports,
@@ -41,6 +42,7 @@
         admission: Finds slots for second calls of requests at a stalled target.
         demand_of: Returns what a request needs in order to start.
         budget: Bounds repeated sends.
+        crash_watch: Tells which requests may have crashed a target.
         context: Clock, random generator, log and metrics.
     """
 
@@ -56,6 +58,7 @@
             [_pending_request.PendingRequest], _admission.Demand
         ],
         budget: _repeat_budget.RepeatBudget,
+        crash_watch: _crash_watch.CrashWatch,
         context: _context.ProcessContext,
     ) -> None:
         self._registry = registry
@@ -65,6 +68,7 @@
         self._admission = admission
         self._demand_of = demand_of
         self._budget = budget
+        self._crash_watch = crash_watch
         self._context = context
         self._relay = _relay.Relay(stalls=stalls, context=context)
 
@@ -190,6 +194,9 @@
         return (
             pending.may_be_sent_again
             and pending.second_calls < _SECOND_CALLS_MAX
+            and not self._crash_watch.gate.find_hold(
+                pending.request.shared_parts
+            )
             and self._budget.can_reserve(pending)
         )
 
@@ -257,8 +264,18 @@
             return verdicts.not_run(_Reason.NOT_CONNECTED, str(fault))
         except guard.TargetLost as fault:
             self._note_failure(place, is_unreachable=False)
+            if call.progress.events == 0:
+                await self._note_crash(pending, place)
             return verdicts.may_have_run(_Reason.CONNECTION_LOST, str(fault))
 
+    async def _note_crash(
+        self,
+        pending: _pending_request.PendingRequest,
+        place: targets.TargetRecord,
+    ) -> None:
+        if await self._crash_watch.is_suspect(pending.request, place):
+            pending.is_suspect = True
+
     async def _handle_answer(
         self,
         pending: _pending_request.PendingRequest,
@@ -277,6 +294,7 @@
             return self._handle_refusal(place, answer)
         if answer.head.is_success and answer.is_event_stream:
             await self._relay.forward_stream(pending, call, answer)
+            self._crash_watch.note_answered(pending.request)
             return verdicts.ran()
         body = await self._relay.read_whole(call, answer)
         if pending.begun:
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -17,6 +17,7 @@
     _admission,
     _attempts,
     _context,
+    _crash_watch,
     _loads,
     _pending_request,
     _ports,
@@ -69,6 +70,7 @@
         fleet: Returns the number of entries, and whether this one is current.
         rules: The operators' bounds.
         budget: Bounds repeated sends.
+        crash_watch: Tells which requests may crash targets.
         context: Clock, random generator, log and metrics.
     """
 
@@ -82,6 +84,7 @@
         fleet: _context.FleetView,
         rules: _context.ForwardingRules,
         budget: _repeat_budget.RepeatBudget,
+        crash_watch: _crash_watch.CrashWatch,
         context: _context.ProcessContext,
     ) -> None:
         self._holder = holder
@@ -89,6 +92,8 @@
         self._is_current = fleet.is_current
         self.rules = rules
         self._budget = budget
+        self._crash_watch = crash_watch
+        self._gate = crash_watch.gate
         self._clock = context.clock
         self._random = context.generator
         self._log = context.log
@@ -112,6 +117,7 @@
             admission=self.admission,
             demand_of=self._demand_of,
             budget=budget,
+            crash_watch=crash_watch,
             context=context,
         )
 
@@ -158,6 +164,7 @@
         """
         if self._index is None:
             await self._wait_for_configuration(request)
+        await self._crash_watch.wait_until_informed(request)
         pending = self._prepare(request, caller)
         if isinstance(pending, verdicts.Outcome):
             self.note_refused(request.request_id, request.path, pending)
@@ -259,10 +266,18 @@
         self, pending: _pending_request.PendingRequest
     ) -> verdicts.Outcome:
         while True:
+            held = self._end_held_back(pending)
+            if held is not None:
+                return held
             place = await self._find_place(pending)
             if isinstance(place, _admission.Refusal):
                 return self._end_without_place(pending, place)
-            outcome = await self._attempts.run(pending, place)
+            held = self._end_held_back(pending)
+            if held is not None:
+                self.admission.release(place)
+                return held
+            with self._gate.sending(pending.request.shared_parts):
+                outcome = await self._attempts.run(pending, place)
             if outcome.verdict is _Verdict.RAN:
                 return outcome
             if not self._may_try_again(pending):
@@ -271,6 +286,24 @@
                 await asyncio.sleep(_REJECTED_PAUSE_S)
                 pending.rejected_by.clear()
 
+    def _end_held_back(
+        self, pending: _pending_request.PendingRequest
+    ) -> verdicts.Outcome | None:
+        """Returns the outcome of a request that must not be sent now."""
+        if pending.begun:
+            # A prompt that crashes targets never gets an event.
+            return None
+        hold = self._gate.find_hold(pending.request.shared_parts)
+        if hold is None:
+            return None
+        if pending.may_have_run:
+            return verdicts.may_have_run(_Reason.CRASHES_TARGETS, hold.why)
+        return verdicts.not_run(
+            _Reason.CRASHES_TARGETS,
+            hold.why,
+            retry_after_ms=int(hold.retry_after_ms),
+        )
+
     async def _find_place(
         self,
         pending: _pending_request.PendingRequest,
@@ -284,6 +317,8 @@
     def _may_try_again(self, pending: _pending_request.PendingRequest) -> bool:
         if pending.may_have_run and not pending.may_repeat:
             return False
+        if pending.is_suspect:
+            return False
         if pending.unexecuted >= _UNEXECUTED_ATTEMPTS_MAX:
             return False
         if pending.sent >= pending.route.attempts_max:
--- a/src/carobslip/forwarding/_pending_request.py
+++ b/src/carobslip/forwarding/_pending_request.py
@@ -26,6 +26,7 @@
         last_event: Number of the last event that the caller has.
         lost_at: Targets whose answer was lost.
         rejected_by: Targets that have just rejected it.
+        is_suspect: It may have crashed a target.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         self.waited_ms = 0.0
         self.last_call: _ports.CallProgress | None = None
         self.without_place: dict[str, int] = {}
+        self.is_suspect = False
         self.first_event_ms: float | None = None
         self.last_event: int | None = None
         self.lost_at: set[identifiers.TargetId] = set()
@@ -80,7 +82,11 @@
     @property
     def may_be_sent_again(self) -> bool:
         """Tells whether it may run once more within the route's attempts."""
-        return self.may_repeat and self.sent < self.route.attempts_max
+        return (
+            self.may_repeat
+            and self.sent < self.route.attempts_max
+            and not self.is_suspect
+        )
 
     def note_not_run(self, target: identifiers.TargetId) -> None:
         """Records that a target provably did not run it."""
--- a/src/carobslip/forwarding/_ports.py
+++ b/src/carobslip/forwarding/_ports.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from carobslip import identifiers
+from carobslip import identifiers, targets
 from carobslip.forwarding import _request
 
 
@@ -126,3 +126,10 @@
             guard.TargetNotReached: Nothing was sent.
             guard.TargetLost: The call was sent and no answer came.
         """
+
+    async def is_gone(self, record: targets.TargetRecord) -> bool:
+        """Tells whether a target no longer runs in the start of its record.
+
+        Returns:
+            False also if that cannot be told, because nothing answers.
+        """
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -154,6 +154,17 @@
         'Log lines were dropped: the output was read too slowly, or too many '
         'lines were written.',
     )
+    PROMPT_CONVICTED = (
+        409,
+        'prompt-convicted',
+        'Requests with certain parts of a prompt crashed several targets; such '
+        'requests are held back.',
+    )
+    PROMPT_CLEARED = (
+        410,
+        'prompt-cleared',
+        'Parts of a prompt are no longer held responsible for crashes.',
+    )
     TARGET_OUT = (501, 'target-out', 'The target gets no new work.')
     TARGET_IN = (
         502,
@@ -190,6 +201,12 @@
         'engine-silent',
         'The engine of a guard does not answer.',
     )
+    TARGET_CRASHED = (
+        512,
+        'target-crashed',
+        'A target ended before it had begun to answer some requests, whose '
+        'prompts are recorded.',
+    )
     MAP_SWITCHED = (503, 'map-switched', 'A rank runs a new expert map.')
     MAP_ABORTED = (504, 'map-aborted', 'A proposed expert map was abandoned.')
     MAP_WAITING = (
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -11,6 +11,7 @@
 from carobslip import (
     clocks,
     control,
+    crashes,
     directory,
     fleet,
     forwarding,
@@ -20,7 +21,7 @@
     targets,
 )
 from carobslip.adapters import control_nng
-from carobslip.processes import _drain, _group_load
+from carobslip.processes import _crash_exchange, _drain, _group_load
 
 #: Probe period, and time from suspicion to removal. They are chosen so that a
 #: dead entry is no longer among the returned addresses after 3 seconds.
@@ -137,6 +138,7 @@
             clock=self.clock,
             started_ms=self.clock.now_ms(),
         )
+        self._crash_watch = self._watch_crashes(adapters.target_port)
         self.forwarder = forwarding.Forwarder(
             holder=self.member.holder,
             registry=self.book,
@@ -148,6 +150,7 @@
             ),
             rules=own.rules,
             budget=self._budget,
+            crash_watch=self._crash_watch,
             context=forwarding.ProcessContext(
                 clock=self.clock,
                 generator=generator,
@@ -191,6 +194,7 @@
         await self._stop_serving()
         for task in self._tasks:
             task.cancel()
+        await self._crash_exchange.close()
         await self.member.close()
 
     def apply_bounds(
@@ -223,7 +227,9 @@
     def is_ready(self) -> bool:
         """Whether callers should use this entry."""
         current = self.member.pause_detector.is_current()
-        return self.forwarder.is_ready and current and not self.is_stopping
+        informed = self._crash_watch.is_informed
+        is_able = self.forwarder.is_ready and informed and current
+        return is_able and not self.is_stopping
 
     def update_gauges(self) -> None:
         """Updates the gauge metrics."""
@@ -304,6 +310,7 @@
         await asyncio.gather(
             self.member.prepare(),
             self._wait_for_targets(),
+            self._learn_crashes(),
         )
         await self.member.join()
         self.log.write(
@@ -312,6 +319,43 @@
             targets=len(self.book),
         )
 
+    def _watch_crashes(
+        self, port: forwarding.TargetPort
+    ) -> forwarding.CrashWatch:
+        ledger = crashes.CrashLedger(clock=self.clock, log=self.log)
+        self._crash_exchange = _crash_exchange.CrashExchange(
+            node=self.member.node,
+            ledger=ledger,
+            peers=self._peer_addresses,
+            clock=self.clock,
+            log=self.log,
+        )
+        return forwarding.CrashWatch(
+            ledger=ledger,
+            gate=crashes.PromptGate(
+                ledger=ledger,
+                clock=self.clock,
+                position=lambda parts: _crash_exchange.position_among(
+                    self.own.instance, self._known_entries(), parts
+                ),
+            ),
+            registry=self.book,
+            port=port,
+            consult=self._crash_exchange.consult,
+        )
+
+    def _peer_addresses(self) -> list[str]:
+        return [
+            record.control_address
+            for record in self.member.fleet.entries()
+            if record.instance != self.own.instance
+        ]
+
+    async def _learn_crashes(self) -> None:
+        seeds = set(self.own.seeds) - {self.own.control_address}
+        await self._crash_exchange.learn(seeds)
+        self._crash_watch.note_informed()
+
     async def _wait_for_targets(self) -> None:
         """Waits until the target list or a peer has supplied targets."""
         seeds = sorted(set(self.own.seeds) - {self.own.control_address})
--- a/src/carobslip/verdicts/_reason.py
+++ b/src/carobslip/verdicts/_reason.py
@@ -43,4 +43,5 @@
     NOT_CURRENT = 'not-current'
     NO_ROOM = 'no-room'
     TARGET_REFUSED = 'target-refused'
+    CRASHES_TARGETS = 'crashes-targets'
     INTERNAL_ERROR = 'internal-error'
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -7,6 +7,7 @@
 from carobslip import (
     clocks,
     configuration,
+    crashes,
     forwarding,
     guard,
     identifiers,
@@ -95,6 +96,9 @@
         self.runs = []
         self.cancelled = []
 
+    async def is_gone(self, record):
+        return False
+
     @contextlib.asynccontextmanager
     async def call(self, call):
         self.calls.append(call)
@@ -211,6 +215,21 @@
             clock=self.clock,
             started_ms=self.clock.now_ms() - age_s * 1000,
         )
+        self.ledger = crashes.CrashLedger(clock=self.clock, log=self.log)
+        self.consult = _consult_nobody
+        self.position = lambda _parts: 0
+        self.crash_watch = forwarding.CrashWatch(
+            ledger=self.ledger,
+            gate=crashes.PromptGate(
+                ledger=self.ledger,
+                clock=self.clock,
+                position=lambda parts: self.position(parts),
+            ),
+            registry=self.book,
+            port=self.port,
+            consult=lambda: self.consult(),
+        )
+        self.crash_watch.note_informed()
         self.forwarder = forwarding.Forwarder(
             holder=self.holder,
             registry=self.book,
@@ -222,6 +241,7 @@
             ),
             rules=forwarding.ForwardingRules(key_age_max_ms=4500),
             budget=self.budget,
+            crash_watch=self.crash_watch,
             context=forwarding.ProcessContext(
                 clock=self.clock,
                 generator=random.Random(2),
@@ -280,6 +300,10 @@
         return outcome, caller
 
 
+async def _consult_nobody():
+    """Default of an entry without peers."""
+
+
 def pending_request(path='/look/x'):
     """Returns a request that has a route and a service."""
     entry = Entry(held=table())
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -7,7 +7,7 @@
 import pytest
 
 from carobslip import identifiers, verdicts
-from tests.fakes import crashing_engines, virtual
+from tests.fakes import crash_news, crashing_engines, virtual
 from tests.fakes import forwarding as fakes
 
 #: Stated bounds: sends with a part that crashes engines, later than
@@ -33,6 +33,7 @@
         self.deadly = deadly
         self.share = share
         self.world = crashing_engines.World(deadly, seed=seed)
+        self.news = crash_news.News(seed)
         self.ids = itertools.count()
         self.outcomes = []
         self.kept = set()
@@ -42,8 +43,16 @@
 
     def add_entry(self):
         entry = fakes.Entry(held=fakes.table(), port=self.world)
+        self.news.add(f'entry-{len(self.world.entries)}', entry)
         self.world.entries.append(entry)
 
+    def restart(self, number):
+        """Replaces an entry by one that knows nothing."""
+        entry = fakes.Entry(held=fakes.table(), port=self.world)
+        self.news.add(f'entry-{number}', entry)
+        self.world.entries[number] = entry
+        self.world.publish()
+
     async def play(self):
         while self.world.now_s() < DAY_S:
             await asyncio.sleep(self.random.expovariate(RATE_RPS))
@@ -52,6 +61,7 @@
             task.add_done_callback(self.kept.discard)
         await asyncio.gather(*self.kept)
         await self.world.close()
+        await self.news.close()
 
     def draw_parts(self):
         is_time = BEGIN_S <= self.world.now_s() < END_S
@@ -123,3 +133,84 @@
     beside = day.begun_at_first_attempt(known[-1] + 2 * CONTACT_S, END_S)
     assert beside is not None
     assert beside >= before / 2
+
+
+# name: changes of the day
+DAYS = {
+    'two parts that crash': {'deadly': (DEADLY, OTHER_DEADLY), 'share': 0.06},
+    'part in most requests': {'share': 0.7},
+    'rare part': {'share': 0.01},
+    'many entries': {'entries': 39},
+}
+
+
+@pytest.mark.parametrize('name', DAYS)
+def test_crashes_end_whatever_the_share_of_the_part(name):
+    day = play(seed=4, **DAYS[name])
+    assert len(day.late_sends()) <= LATE_SENDS_MAX * len(day.world.deadly)
+    assert day.begun_at_first_attempt(22, END_S) >= 0.5
+
+
+def test_restarted_entries_remember_parts_that_crashed_engines():
+    async def scenario():
+        day = Day(seed=5)
+        playing = asyncio.ensure_future(day.play())
+        for number in range(len(day.world.entries)):
+            await asyncio.sleep(12 if number == 0 else 1)
+            day.restart(number)
+        await playing
+        return day
+
+    assert len(virtual.run(scenario).late_sends()) <= LATE_SENDS_MAX
+
+
+def test_entries_that_were_cut_off_during_the_crashes_learn_of_them():
+    async def scenario():
+        day = Day(seed=6)
+        playing = asyncio.ensure_future(day.play())
+        others = [f'entry-{number}' for number in range(6)]
+        for other in others:
+            day.news.network.cut('entry-6', other)
+        await asyncio.sleep(15)
+        day.news.network.heal()
+        await asyncio.sleep(CONTACT_S)
+        assert day.world.entries[6].ledger.causes
+        await playing
+        return day
+
+    virtual.run(scenario)
+
+
+def test_engines_that_fail_together_accuse_no_part():
+    async def scenario():
+        day = Day(seed=7, share=0.0)
+        playing = asyncio.ensure_future(day.play())
+        await asyncio.sleep(8)
+        day.world.crash_share(0.7)
+        await playing
+        return day
+
+    day = virtual.run(scenario)
+    assert not any(entry.ledger.causes for entry in day.world.entries)
+    assert day.begun_at_first_attempt(16, 30) >= 0.9
+
+
+def test_engines_that_go_down_by_turns_accuse_no_part():
+    async def scenario():
+        day = Day(seed=8, share=0.0)
+        playing = asyncio.ensure_future(day.play())
+        for _ in range(10):
+            await asyncio.sleep(2.5)
+            day.world.crash_share(0.1)
+        await playing
+        return day
+
+    day = virtual.run(scenario)
+    convicted = {
+        part
+        for entry in day.world.entries
+        for cause in entry.ledger.causes
+        for part in cause.parts
+    }
+    assert FIRST not in convicted
+    assert len(convicted) <= len(SESSIONS) / 20
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -432,6 +432,56 @@
         assert await _read(calls, address) == body
 
 
+# name: (body of a report, whether the engine has ended)
+REPORTS = {
+    'the start that is listed': ({'born': 7}, False),
+    'another start': ({'born': 8}, True),
+    'no start': ({'queued': 1}, False),
+    'malformed': ({'born': 'x'}, False),
+}
+
+
+@pytest.mark.parametrize('name', REPORTS)
+async def test_engine_in_another_start_has_ended(engine, name):
+    report, is_gone = REPORTS[name]
+    calls, _address, _script, _received = engine
+    body = json.dumps(report).encode()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+        writer.write(head + body)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    record = fakes.record(
+        'i-1', fakes.SERVICE, address=f'127.0.0.1:{port}', started_wall_ms=7
+    )
+    assert await calls.is_gone(record) is is_gone
+    server.close()
+
+
+async def test_engine_that_refuses_connections_has_ended(engine):
+    calls, *_ = engine
+    record = fakes.record('i-1', fakes.SERVICE, address='127.0.0.1:1')
+    assert await calls.is_gone(record)
+
+
+async def test_silent_engine_has_not_ended(engine):
+    calls, *_ = engine
+    silent = asyncio.Event()
+
+    async def serve(reader, writer):
+        await silent.wait()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    record = fakes.record('i-1', fakes.SERVICE, address=f'127.0.0.1:{port}')
+    assert not await calls.is_gone(record)
+    silent.set()
+    server.close()
+
+
 async def test_surplus_answer_never_reaches_the_next_request(engine):
     calls, address, script, _received = engine
     script['raw'] = ANSWERS['two answers'][0].replace(b'xy', b'zz')
