A stream that ends inside an event is not passed on as complete

Callers got a stream with the end mark of a complete one though its target had stopped inside an event, or before the first one. Cause: at the end of the body the relay wrote what was left and ended the answer, whatever it was. Such an end is a loss now: the stream is resumed after its last whole event where the route allows it, else the caller's connection closes without an end mark. Bodies without length on a kept connection, closed in order and reset, get a test as well; they were handled.

--- a/src/carobslip/forwarding/_events.py
+++ b/src/carobslip/forwarding/_events.py
@@ -29,6 +29,11 @@
     def __init__(self) -> None:
         self.rest = b''
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end with a part of an event."""
+        return bool(self.rest.strip(b'\r\n'))
+
     def feed(self, content: bytes) -> list[StreamEvent]:
         """Adds bytes and returns the events that are complete now."""
         self.rest += content
--- a/src/carobslip/forwarding/_relay.py
+++ b/src/carobslip/forwarding/_relay.py
@@ -81,8 +81,12 @@
             if fresh:
                 with call.sending_to_caller():
                     await self._write(pending, answer.head, b''.join(fresh))
+        if splitter.is_inside_event:
+            raise guard.TargetLost('the stream ended inside an event')
+        if not pending.begun:
+            raise guard.TargetLost('the stream ended before its first event')
         with call.sending_to_caller():
-            if splitter.rest or not pending.begun:
+            if splitter.rest:
                 await self._write(pending, answer.head, splitter.rest)
             await pending.caller.end()
 
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -432,6 +432,24 @@
         assert await _read(calls, address) == body
 
 
+@pytest.mark.parametrize(
+    ('end', 'is_whole'), [('closed', True), ('reset', False)]
+)
+async def test_answer_that_ends_a_kept_connection_is_whole_only_after_an_orderly_end(
+    engine, end, is_whole
+):
+    calls, address, script, _received = engine
+    script.update(raw=ANSWERS['complete'][0], end='kept')
+    assert await _read(calls, address) == b'ab'
+    events = b'Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n'
+    script.update(raw=OK + events, end=end)
+    if is_whole:
+        assert await _read(calls, address) == b'id: 1\ndata: x\n\n'
+        return
+    with pytest.raises(guard.TargetLost):
+        await _read(calls, address)
+
+
 # name: (body of a report, whether the engine has ended)
 REPORTS = {
     'the start that is listed': ({'born': 7}, False),
