Entries read and log the rate that a target names

Cause: answers named a limit and nothing read it, so that the logs could not tell which targets were limited, since when, and what they got. No decision changes.

--- a/src/carobslip/forwarding/__init__.py
+++ b/src/carobslip/forwarding/__init__.py
@@ -18,6 +18,7 @@
     TargetLoad,
     TargetPort,
 )
+from carobslip.forwarding._rate_limits import NamedLimit, RateLimits
 from carobslip.forwarding._repeat_budget import RepeatBounds, RepeatBudget
 from carobslip.forwarding._request import AnswerHead, ForwardRequest, Headers
 from carobslip.forwarding._table import ForwardingIndex, choose_service
@@ -39,6 +40,8 @@
     'Headers',
     'LoadTracker',
     'ProcessContext',
+    'NamedLimit',
+    'RateLimits',
     'Refusal',
     'RepeatBounds',
     'RepeatBudget',
--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from carobslip import clocks, identifiers, targets
-from carobslip.forwarding import _loads
+from carobslip.forwarding import _loads, _rate_limits
 
 #: Window over which requests to a cold target are counted; the bound is stated
 #: per second.
@@ -110,6 +110,7 @@
         loads: Load of the targets.
         candidates: Returns the targets that may be used for a service.
         entries: Returns how many entries share the targets.
+        limits: Rates that targets have named.
         clock: Monotonic time.
         generator: Spreads the retries of refused callers.
     """
@@ -123,12 +124,14 @@
             Sequence[targets.TargetRecord],
         ],
         entries: Callable[[], int],
+        limits: _rate_limits.RateLimits,
         clock: clocks.Clock,
         generator: random.Random,
     ) -> None:
         self._loads = loads
         self._candidates = candidates
         self._entries = entries
+        self.limits = limits
         self._clock = clock
         self._random = generator
         self._order = 0
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -290,6 +290,13 @@
                 total,
                 valid_ms=_loads.ANSWER_VALID_MS,
             )
+        if not answer.is_other_target:
+            self._admission.limits.note_answer(
+                place.target,
+                answer.rate_limits,
+                started_ms=call.started_ms,
+                is_success=answer.head.is_success,
+            )
         if answer.has_not_run or answer.is_other_target:
             return self._handle_refusal(place, answer)
         if answer.head.is_success and answer.is_event_stream:
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -21,6 +21,7 @@
     _loads,
     _pending_request,
     _ports,
+    _rate_limits,
     _repeat_budget,
     _request,
     _stalls,
@@ -106,6 +107,9 @@
             loads=loads,
             candidates=self._candidates,
             entries=fleet.entries,
+            limits=_rate_limits.RateLimits(
+                clock=context.clock, log=context.log
+            ),
             clock=context.clock,
             generator=context.generator,
         )
--- a/src/carobslip/forwarding/_ports.py
+++ b/src/carobslip/forwarding/_ports.py
@@ -98,6 +98,8 @@
         is_other_target: Another incarnation of a target has the address.
         is_event_stream: The body is a series of events.
         load: Load that the target reports; None if it reports none.
+        rate_limits: Values that name the requests a second which the target
+            takes from all entries together, as received.
         target_at_fault: The target that caused the failure, if the answering
             one names another.
     """
@@ -107,6 +109,7 @@
     is_other_target: bool
     is_event_stream: bool
     load: TargetLoad | None
+    rate_limits: tuple[str, ...]
     target_at_fault: identifiers.TargetId | None
 
     def chunks(self) -> AsyncIterator[bytes]:
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -207,6 +207,12 @@
         'A target ended before it had begun to answer some requests, whose '
         'prompts are recorded.',
     )
+    TARGET_LIMITED = (
+        513,
+        'target-limited',
+        'An answer named another rate, or none, of requests that its target '
+        'takes from all entries together.',
+    )
     MAP_SWITCHED = (503, 'map-switched', 'A rank runs a new expert map.')
     MAP_ABORTED = (504, 'map-aborted', 'A proposed expert map was abandoned.')
     MAP_WAITING = (
--- a/tests/fakes/crashing_engines.py
+++ b/tests/fakes/crashing_engines.py
@@ -52,6 +52,7 @@
         self.is_other_target = False
         self.is_event_stream = True
         self.load = None
+        self.rate_limits = ()
         self.target_at_fault = None
         self._world = world
         self._engine = engine
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -37,6 +37,7 @@
         is_other_target=False,
         is_event_stream=False,
         load=None,
+        rate_limits=(),
         part_pause_s=0.01,
     ):
         self.head = forwarding.AnswerHead(
@@ -50,6 +51,7 @@
         self.is_other_target = is_other_target
         self.is_event_stream = is_event_stream
         self.load = load
+        self.rate_limits = rate_limits
         self.target_at_fault = None
 
     async def chunks(self):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from carobslip import clocks, forwarding, identifiers
+from carobslip import clocks, forwarding, identifiers, observability
 from tests.fakes import forwarding as fakes
 from tests.fakes import virtual
 
@@ -32,6 +32,9 @@
             loads=self.loads,
             candidates=lambda _service: self.records,
             entries=lambda: self.entries,
+            limits=forwarding.RateLimits(
+                clock=self.clock, log=observability.EventLog()
+            ),
             clock=self.clock,
             generator=random.Random(2),
         )
