Targets get no more requests than the rate that they have named

Callers were served, but a target in need got more requests than it had named, from entries that had passed its limit on. Cause: nothing read the limit, and what all entries send together was bounded by none of them.

Change: one entry, chosen by hashing, counts the requests to each limited target; the others ask it for a permit before they send, also for repeats and resumed streams. A target without a permit is passed over until the next one; a second call of a stalled request does not go to a limited target.

--- a/src/carobslip/control/__init__.py
+++ b/src/carobslip/control/__init__.py
@@ -7,6 +7,7 @@
     encode,
 )
 from carobslip.control._messages import (
+    AskPermit,
     ClaimId,
     CompareVersions,
     ConfigurationPart,
@@ -24,6 +25,7 @@
     Noted,
     OrderRank,
     Origin,
+    PermitAnswer,
     Probe,
     ProbeAcknowledged,
     ProbeFailed,
@@ -47,6 +49,7 @@
 
 __all__ = [
     'MESSAGE_MAX_BYTES',
+    'AskPermit',
     'ClaimId',
     'CompareVersions',
     'ConfigurationPart',
@@ -70,6 +73,7 @@
     'Node',
     'Origin',
     'PeerUnreachable',
+    'PermitAnswer',
     'Probe',
     'ProbeAcknowledged',
     'ProbeFailed',
--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -195,6 +195,32 @@
     ] = ()
 
 
+class AskPermit(_Message, frozen=True, kw_only=True):
+    """Asks for one request to a target that has named a rate.
+
+    Attributes:
+        target: The target.
+        rate_rps: The rate, as the sender has met it.
+        named_age_ms: Time since the target last named it to the sender.
+    """
+
+    target: identifiers.TargetId
+    rate_rps: Annotated[float, msgspec.Meta(ge=0)]
+    named_age_ms: Annotated[float, msgspec.Meta(ge=0)]
+
+
+class PermitAnswer(_Message, frozen=True, kw_only=True):
+    """Answers a request for a permit.
+
+    Attributes:
+        is_granted: One request may be sent now.
+        wait_ms: Time until the next permit, otherwise.
+    """
+
+    is_granted: bool
+    wait_ms: float = 0.0
+
+
 class RankNewsPush(_Message, frozen=True, kw_only=True):
     """Reports the state of a rank to its group's coordinator."""
 
@@ -397,6 +423,8 @@
     | TargetList
     | GroupLoad
     | CrashReports
+    | AskPermit
+    | PermitAnswer
     | RankNewsPush
     | OrderRank
     | RankOrdered
--- a/src/carobslip/forwarding/__init__.py
+++ b/src/carobslip/forwarding/__init__.py
@@ -5,11 +5,18 @@
     FleetView,
     ForwardingRules,
     ProcessContext,
+    SharedLimits,
 )
 from carobslip.forwarding._crash_watch import CrashWatch
 from carobslip.forwarding._events import EventSplitter, StreamEvent
 from carobslip.forwarding._forwarder import Forwarder
 from carobslip.forwarding._loads import LoadTracker
+from carobslip.forwarding._permits import (
+    Permit,
+    PermitGate,
+    PermitIssuer,
+    PermitPort,
+)
 from carobslip.forwarding._ports import (
     Caller,
     CallProgress,
@@ -41,10 +48,15 @@
     'LoadTracker',
     'ProcessContext',
     'NamedLimit',
+    'Permit',
+    'PermitGate',
+    'PermitIssuer',
+    'PermitPort',
     'RateLimits',
     'Refusal',
     'RepeatBounds',
     'RepeatBudget',
+    'SharedLimits',
     'StreamEvent',
     'TargetAnswer',
     'TargetLoad',
--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from carobslip import clocks, identifiers, targets
-from carobslip.forwarding import _loads, _rate_limits
+from carobslip.forwarding import _loads, _permits
 
 #: Window over which requests to a cold target are counted; the bound is stated
 #: per second.
@@ -110,7 +110,7 @@
         loads: Load of the targets.
         candidates: Returns the targets that may be used for a service.
         entries: Returns how many entries share the targets.
-        limits: Rates that targets have named.
+        permits: Tells which targets take no request because of their rate.
         clock: Monotonic time.
         generator: Spreads the retries of refused callers.
     """
@@ -124,14 +124,14 @@
             Sequence[targets.TargetRecord],
         ],
         entries: Callable[[], int],
-        limits: _rate_limits.RateLimits,
+        permits: _permits.PermitGate,
         clock: clocks.Clock,
         generator: random.Random,
     ) -> None:
         self._loads = loads
         self._candidates = candidates
         self._entries = entries
-        self.limits = limits
+        self.permits = permits
         self._clock = clock
         self._random = generator
         self._order = 0
@@ -146,7 +146,15 @@
 
         Meant for a request that is already in progress at a stalled target.
         """
-        record = self._find_place(demand)
+        # A permit would take a message to another entry and back.
+        limited = frozenset(
+            record.target
+            for record in self._candidates(demand.service)
+            if self.permits.limits.find(record.target) is not None
+        )
+        record = self._find_place(
+            msgspec.structs.replace(demand, excluded=demand.excluded | limited)
+        )
         return None if record is None else self._start(record)
 
     async def admit(self, demand: Demand) -> targets.TargetRecord | Refusal:
@@ -291,26 +299,37 @@
         demand: Demand,
     ) -> str:
         loads = self._loads
-        if record.target in demand.excluded:
-            return 'excluded'
-        if loads.is_avoided(record.target):
-            return 'avoided'
-        if not self._is_within_cold_rate(record, demand.cold_rps):
-            return 'cold'
+        excluded = self._why_excluded(record, demand)
+        if excluded is not None:
+            return excluded
         if not loads.has_report(record.target):
             return 'no report'
         if loads.load_of(record.target) >= record.slots:
             return 'full'
         return 'left to other entries'
 
+    def _why_excluded(
+        self,
+        record: targets.TargetRecord,
+        demand: Demand,
+    ) -> str | None:
+        """Returns why a target must not get a request, whatever its load."""
+        if record.target in demand.excluded:
+            return 'excluded'
+        if self._loads.is_avoided(record.target):
+            return 'avoided'
+        if self.permits.is_blocked(record.target):
+            return 'limited'
+        if not self._is_within_cold_rate(record, demand.cold_rps):
+            return 'cold'
+        return None
+
     def _find_place(self, demand: Demand) -> targets.TargetRecord | None:
         free = [
             record
             for record in self._candidates(demand.service)
-            if record.target not in demand.excluded
-            and not self._loads.is_avoided(record.target)
-            and self._has_free_slot(record, demand.share_min)
-            and self._is_within_cold_rate(record, demand.cold_rps)
+            if self._has_free_slot(record, demand.share_min)
+            and self._why_excluded(record, demand) is None
         ]
         return self._loads.choose(free)
 
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -291,7 +291,7 @@
                 valid_ms=_loads.ANSWER_VALID_MS,
             )
         if not answer.is_other_target:
-            self._admission.limits.note_answer(
+            self._admission.permits.limits.note_answer(
                 place.target,
                 answer.rate_limits,
                 started_ms=call.started_ms,
--- a/src/carobslip/forwarding/_context.py
+++ b/src/carobslip/forwarding/_context.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from carobslip import clocks, observability
+from carobslip.forwarding import _permits, _repeat_budget
 
 
 class ForwardingRules(msgspec.Struct, frozen=True, kw_only=True):
@@ -36,6 +37,18 @@
     is_current: Callable[[], bool]
 
 
+class SharedLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds on what all entries send together.
+
+    Attributes:
+        budget: Bounds repeated sends.
+        permits: Shares the rates that targets have named.
+    """
+
+    budget: _repeat_budget.RepeatBudget
+    permits: _permits.PermitGate
+
+
 class ProcessContext(msgspec.Struct, frozen=True, kw_only=True):
     """Clock, random generator, log and metrics of a process."""
 
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -21,8 +21,6 @@
     _loads,
     _pending_request,
     _ports,
-    _rate_limits,
-    _repeat_budget,
     _request,
     _stalls,
     _table,
@@ -70,7 +68,7 @@
         port: Calls targets.
         fleet: Returns the number of entries, and whether this one is current.
         rules: The operators' bounds.
-        budget: Bounds repeated sends.
+        shared: Bounds on what all entries send together.
         crash_watch: Tells which requests may crash targets.
         context: Clock, random generator, log and metrics.
     """
@@ -84,7 +82,7 @@
         port: _ports.TargetPort,
         fleet: _context.FleetView,
         rules: _context.ForwardingRules,
-        budget: _repeat_budget.RepeatBudget,
+        shared: _context.SharedLimits,
         crash_watch: _crash_watch.CrashWatch,
         context: _context.ProcessContext,
     ) -> None:
@@ -92,7 +90,7 @@
         self._registry = registry
         self._is_current = fleet.is_current
         self.rules = rules
-        self._budget = budget
+        self._budget = shared.budget
         self._crash_watch = crash_watch
         self._gate = crash_watch.gate
         self._clock = context.clock
@@ -107,9 +105,7 @@
             loads=loads,
             candidates=self._candidates,
             entries=fleet.entries,
-            limits=_rate_limits.RateLimits(
-                clock=context.clock, log=context.log
-            ),
+            permits=shared.permits,
             clock=context.clock,
             generator=context.generator,
         )
@@ -120,7 +116,7 @@
             stalls=self.stalls,
             admission=self.admission,
             demand_of=self._demand_of,
-            budget=budget,
+            budget=shared.budget,
             crash_watch=crash_watch,
             context=context,
         )
@@ -270,16 +266,9 @@
         self, pending: _pending_request.PendingRequest
     ) -> verdicts.Outcome:
         while True:
-            held = self._end_held_back(pending)
-            if held is not None:
-                return held
-            place = await self._find_place(pending)
-            if isinstance(place, _admission.Refusal):
-                return self._end_without_place(pending, place)
-            held = self._end_held_back(pending)
-            if held is not None:
-                self.admission.release(place)
-                return held
+            place = await self._take_place(pending)
+            if isinstance(place, verdicts.Outcome):
+                return place
             with self._gate.sending(pending.request.shared_parts):
                 outcome = await self._attempts.run(pending, place)
             if outcome.verdict is _Verdict.RAN:
@@ -290,6 +279,41 @@
                 await asyncio.sleep(_REJECTED_PAUSE_S)
                 pending.rejected_by.clear()
 
+    async def _take_place(
+        self, pending: _pending_request.PendingRequest
+    ) -> targets.TargetRecord | verdicts.Outcome:
+        """Returns the target to send to, or the outcome if there is none."""
+        while True:
+            held = self._end_held_back(pending)
+            if held is not None:
+                return held
+            place = await self._find_place(pending)
+            if isinstance(place, _admission.Refusal):
+                return self._end_without_place(pending, place)
+            if await self._has_permit(pending, place):
+                break
+        # More may be known about the prompt than before the wait.
+        held = self._end_held_back(pending)
+        if held is None:
+            return place
+        self.admission.release(place)
+        return held
+
+    async def _has_permit(
+        self,
+        pending: _pending_request.PendingRequest,
+        place: targets.TargetRecord,
+    ) -> bool:
+        """Tells whether the target takes a request; if not, frees the slot."""
+        granted = False
+        try:
+            granted = await self.admission.permits.may_send(place.target)
+        finally:
+            if not granted:
+                pending.permits_refused += 1
+                self.admission.release(place)
+        return granted
+
     def _end_held_back(
         self, pending: _pending_request.PendingRequest
     ) -> verdicts.Outcome | None:
@@ -429,6 +453,7 @@
             last_event=pending.last_event,
             waited_ms=round(pending.waited_ms),
             without_place=pending.without_place,
+            permits_refused=pending.permits_refused,
             first_event_ms=None
             if pending.first_event_ms is None
             else round(pending.first_event_ms),
--- a/src/carobslip/forwarding/_pending_request.py
+++ b/src/carobslip/forwarding/_pending_request.py
@@ -27,6 +27,7 @@
         lost_at: Targets whose answer was lost.
         rejected_by: Targets that have just rejected it.
         is_suspect: It may have crashed a target.
+        permits_refused: Slots that it gave up because of a target's rate.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         self.last_call: _ports.CallProgress | None = None
         self.without_place: dict[str, int] = {}
         self.is_suspect = False
+        self.permits_refused = 0
         self.first_event_ms: float | None = None
         self.last_event: int | None = None
         self.lost_at: set[identifiers.TargetId] = set()
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -21,7 +21,12 @@
     targets,
 )
 from carobslip.adapters import control_nng
-from carobslip.processes import _crash_exchange, _drain, _group_load
+from carobslip.processes import (
+    _crash_exchange,
+    _drain,
+    _group_load,
+    _permit_exchange,
+)
 
 #: Probe period, and time from suspicion to removal. They are chosen so that a
 #: dead entry is no longer among the returned addresses after 3 seconds.
@@ -149,7 +154,10 @@
                 is_current=self.member.pause_detector.is_current,
             ),
             rules=own.rules,
-            budget=self._budget,
+            shared=forwarding.SharedLimits(
+                budget=self._budget,
+                permits=self._share_rates(),
+            ),
             crash_watch=self._crash_watch,
             context=forwarding.ProcessContext(
                 clock=self.clock,
@@ -344,6 +352,26 @@
             consult=self._crash_exchange.consult,
         )
 
+    def _share_rates(self) -> forwarding.PermitGate:
+        return forwarding.PermitGate(
+            limits=forwarding.RateLimits(clock=self.clock, log=self.log),
+            port=_permit_exchange.PermitExchange(
+                node=self.member.node,
+                issuer=forwarding.PermitIssuer(clock=self.clock),
+                entries=self._permit_issuers,
+                clock=self.clock,
+                log=self.log,
+            ),
+            clock=self.clock,
+        )
+
+    def _permit_issuers(self) -> list[directory.InstanceRecord]:
+        return [
+            record
+            for record in self.member.fleet.entries()
+            if self._is_alive(record)
+        ]
+
     def _peer_addresses(self) -> list[str]:
         return [
             record.control_address
@@ -394,7 +422,7 @@
         listed = [record.target for record in self.book.records]
         self.loads.drop_unlisted(listed)
         self.forwarder.stalls.drop_unlisted(listed)
-        self.forwarder.admission.limits.drop_unlisted(listed)
+        self.forwarder.admission.permits.limits.drop_unlisted(listed)
         self.forwarder.admission.recheck_queues()
 
     def _update_stall(
--- a/tests/fakes/crash_news.py
+++ b/tests/fakes/crash_news.py
@@ -3,8 +3,15 @@
 import asyncio
 import random
 
-from carobslip import clocks, configuration, control, identifiers, observability
-from carobslip.processes import _crash_exchange
+from carobslip import (
+    clocks,
+    configuration,
+    control,
+    directory,
+    identifiers,
+    observability,
+)
+from carobslip.processes import _crash_exchange, _permit_exchange
 from tests.fakes import host as hosts
 from tests.fakes import network as networks
 
@@ -19,6 +26,13 @@
         self.name = name
         self.address = f'{name}:70'
         self.host = hosts.Host(name)
+        self.record = directory.InstanceRecord(
+            instance=identifiers.InstanceId(name),
+            role=directory.Role.ENTRY,
+            data_centre=identifiers.DataCentreId('east'),
+            http_address=f'{name}:80',
+            control_address=self.address,
+        )
         clock = clocks.LoopClock(epoch_ms=0)
         self._news = news
         self.node = control.Node(
@@ -41,6 +55,13 @@
             clock=clock,
             log=observability.EventLog(),
         )
+        entry.permit_port.exchange = _permit_exchange.PermitExchange(
+            node=self.node,
+            issuer=entry.issuer,
+            entries=lambda: [peer.record for peer in news.peers.values()],
+            clock=clock,
+            log=observability.EventLog(),
+        )
         entry.consult = self.exchange.consult
         entry.position = lambda parts: _crash_exchange.position_among(
             name, list(news.peers), parts
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -220,6 +220,8 @@
         self.ledger = crashes.CrashLedger(clock=self.clock, log=self.log)
         self.consult = _consult_nobody
         self.position = lambda _parts: 0
+        self.issuer = forwarding.PermitIssuer(clock=self.clock)
+        self.permit_port = LocalPermits(self.issuer)
         self.crash_watch = forwarding.CrashWatch(
             ledger=self.ledger,
             gate=crashes.PromptGate(
@@ -242,8 +244,17 @@
                 is_current=lambda: self.is_current,
             ),
             rules=forwarding.ForwardingRules(key_age_max_ms=4500),
-            budget=self.budget,
             crash_watch=self.crash_watch,
+            shared=forwarding.SharedLimits(
+                budget=self.budget,
+                permits=forwarding.PermitGate(
+                    limits=forwarding.RateLimits(
+                        clock=self.clock, log=self.log
+                    ),
+                    port=self.permit_port,
+                    clock=self.clock,
+                ),
+            ),
             context=forwarding.ProcessContext(
                 clock=self.clock,
                 generator=random.Random(2),
@@ -302,6 +313,28 @@
         return outcome, caller
 
 
+class LocalPermits:
+    """Issues permits without asking another entry, unless a test sets one."""
+
+    def __init__(self, issuer):
+        self.issuer = issuer
+        self.exchange = None
+
+    async def ask(self, target, limit):
+        if self.exchange is not None:
+            return await self.exchange.ask(target, limit)
+        return self.issuer.issue(target, limit)
+
+
+def unlimited(clock):
+    """Returns permits of an entry whose targets name no rate."""
+    return forwarding.PermitGate(
+        limits=forwarding.RateLimits(clock=clock, log=observability.EventLog()),
+        port=LocalPermits(forwarding.PermitIssuer(clock=clock)),
+        clock=clock,
+    )
+
+
 async def _consult_nobody():
     """Default of an entry without peers."""
 
