--- a/src/carobslip/crashes/_causes.py
+++ b/src/carobslip/crashes/_causes.py
@@ -1,6 +1,7 @@
 """Finds the parts of prompts that explain crashes."""
 
 import collections
+import math
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
@@ -94,7 +95,7 @@
 
 def _count_episodes(crashes: Sequence[_records.Crash]) -> int:
     count = 0
-    begun_ms = -_EPISODE_MS
+    begun_ms = -math.inf
     for crash in crashes:
         if crash.known_ms - begun_ms >= _EPISODE_MS:
             count += 1
--- a/src/carobslip/crashes/_records.py
+++ b/src/carobslip/crashes/_records.py
@@ -11,7 +11,8 @@
 #: Prompts that are recorded for one crash.
 PROMPTS_MAX: Final = 16
 _PARTS_MAX: Final = 512
-_NAME_MAX_CHARS: Final = 160
+#: Fits the longest key of a target with its start.
+_NAME_MAX_CHARS: Final = 256
 
 #: One start of one target.
 TargetStart = NewType('TargetStart', str)
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -226,6 +226,7 @@
             took_ms=round(took_ms),
             list_revision=self._registry.revision,
             shared_parts=pending.request.shared_parts,
+            is_suspect=pending.is_suspect,
             **call.progress.fields(self._context.clock.now_ms()),
         )
         return outcome
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -1,5 +1,6 @@
 """Which parts of prompts are held responsible for crashes."""
 
+import msgspec
 import pytest
 
 from carobslip import crashes, observability, verdicts
@@ -261,6 +262,28 @@
     assert [record.start for record in process.ledger.records()] == ['t9']
 
 
+def test_crashes_from_before_the_start_of_a_process_count():
+    process = Process()
+    process.ledger.merge(
+        (
+            crashes.CrashRecord(start='t1', age_ms=9000, prompts=(('d',),)),
+            crashes.CrashRecord(start='t2', age_ms=5000, prompts=(('d',),)),
+        ),
+        source='peer',
+    )
+    assert process.holds('d')
+    assert len(process.ledger.causes) == 1
+
+
+def test_start_of_a_target_with_the_longest_id_can_be_sent_to_peers():
+    listed = fakes.record('i' * 200, fakes.SERVICE, started_wall_ms=10**13)
+    sent = crashes.CrashRecord(
+        start=crashes.start_of(listed), age_ms=0, prompts=(('d',),)
+    )
+    encoded = msgspec.msgpack.encode(sent)
+    assert msgspec.msgpack.decode(encoded, type=crashes.CrashRecord) == sent
+
+
 def test_requests_without_parts_are_never_held_back():
     process = convicted()
     assert process.gate.find_hold(()) is None
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -1,8 +1,11 @@
 """The parts of a prompt that are read from a caller's header."""
 
+import msgspec
 import pytest
 from users_platform import callers
 
+from carobslip import crashes
+
 LONG = 'f' * 33
 
 # name: (values of the header, shared parts)
@@ -36,3 +39,14 @@
     assert len(parts) == 32
     assert len(set(parts)) == 2
     assert all(len(part) <= 32 for part in parts)
+
+
+def test_part_that_is_no_text_can_be_sent_to_peers():
+    (part,) = callers._shared_parts_of(('\udcff\udc80:1,own:2',))
+    record = crashes.CrashRecord(start='t1', age_ms=0, prompts=((part,),))
+    assert (
+        msgspec.msgpack.decode(
+            msgspec.msgpack.encode(record), type=crashes.CrashRecord
+        )
+        == record
+    )
