Permits of targets that have left are dropped

Found when reading the change: an entry kept a time for each target that it was ever refused a permit for, without bound. Test: test_nothing_is_kept_of_targets_that_are_gone (the method it calls did not exist before).

--- a/src/carobslip/forwarding/_permits.py
+++ b/src/carobslip/forwarding/_permits.py
@@ -6,6 +6,7 @@
 entry counts for each target, and the others ask it before they send.
 """
 
+from collections.abc import Iterable
 from typing import Final, Protocol
 
 import msgspec
@@ -141,6 +142,13 @@
         self._blocked_until_ms.pop(target)
         return False
 
+    def drop_unlisted(self, listed: Iterable[identifiers.TargetId]) -> None:
+        """Drops what is known of unlisted targets."""
+        kept = set(listed)
+        self.limits.drop_unlisted(kept)
+        for target in self._blocked_until_ms.keys() - kept:
+            self._blocked_until_ms.pop(target)
+
     async def may_send(self, target: identifiers.TargetId) -> bool:
         """Tells whether one request may be sent to a target now."""
         limit = self.limits.find(target)
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -422,7 +422,7 @@
         listed = [record.target for record in self.book.records]
         self.loads.drop_unlisted(listed)
         self.forwarder.stalls.drop_unlisted(listed)
-        self.forwarder.admission.permits.limits.drop_unlisted(listed)
+        self.forwarder.admission.permits.drop_unlisted(listed)
         self.forwarder.admission.recheck_queues()
 
     def _update_stall(
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -78,3 +78,18 @@
 def test_rate_holds_for_as_long_as_answers_name_it(name):
     answers, rate_rps = SEQUENCES[name]
     assert limits_after(*answers) == rate_rps
+
+
+def test_nothing_is_kept_of_targets_that_are_gone():
+    async def scenario():
+        answer = fakes.FakeAnswer(rate_limits=('0.5',))
+        entry = fakes.Entry([answer], held=fakes.table(), count=1)
+        await entry.send('/note/x')
+        permits = entry.forwarder.admission.permits
+        assert not await permits.may_send(TARGET)
+        assert permits.is_blocked(TARGET)
+        permits.drop_unlisted([])
+        assert permits.limits.find(TARGET) is None
+        assert not permits._blocked_until_ms
+
+    virtual.run(scenario)
