--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -262,11 +262,7 @@
             data_centre: Data centre of the callers.
             limit: Largest number of addresses to return.
         """
-        alive = [
-            record
-            for record in self.member.fleet.entries()
-            if self._is_alive(record)
-        ] or self.member.fleet.entries()
+        alive = self._alive_entries() or self.member.fleet.entries()
         near = [record for record in alive if record.data_centre == data_centre]
         far = [record for record in alive if record not in near]
         random.shuffle(near)
@@ -358,14 +354,14 @@
             port=_permit_exchange.PermitExchange(
                 node=self.member.node,
                 issuer=forwarding.PermitIssuer(clock=self.clock),
-                entries=self._permit_issuers,
+                entries=self._alive_entries,
                 clock=self.clock,
                 log=self.log,
             ),
             clock=self.clock,
         )
 
-    def _permit_issuers(self) -> list[directory.InstanceRecord]:
+    def _alive_entries(self) -> list[directory.InstanceRecord]:
         return [
             record
             for record in self.member.fleet.entries()
