--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -93,6 +93,17 @@
         'A configuration was requested from a peer; the outcome tells whether '
         'it arrived and was newer.',
     )
+    CONFIGURATION_NOT_ADOPTED = (
+        211,
+        'configuration-not-adopted',
+        'The configuration service answered with a document that was not '
+        'adopted; the fields say why.',
+    )
+    STORE_RESTORED = (
+        212,
+        'store-restored',
+        'The platform came back from an older copy of what it publishes.',
+    )
     MEMBER_CHANGED = (
         301,
         'member-changed',
--- a/tests/test_configuration_interleavings.py
+++ b/tests/test_configuration_interleavings.py
@@ -15,7 +15,7 @@
     def __init__(self):
         self.pending = {'range': [], 'watch': []}
 
-    async def read(self, prefix):
+    async def read(self, prefix, *, cause):
         return await self._wait_for_answer('range')
 
     async def watch(self, prefix, *, after, wait_ms):
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -164,6 +164,7 @@
     fake_store.client = store.StoreClient(
         address=fake_store.address,
         session=session,
+        log=LOG,
     )
     yield fake_store
     await session.close()
