--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,205 @@
+"""The store comes back from an older copy of what it had acknowledged."""
+
+import asyncio
+
+import pytest
+
+from tests import test_users_platform as platforms
+from tests.fakes import host as hosts
+from tests.fakes import store_entries
+
+#: A confirmed change is in force within this time.
+APPLY_S = 2.0
+#: Longest time for which the store is away in these tests.
+AWAY_S = 2.0
+#: What was written before the loss has been written again within this time
+#: after the store's return.
+REWRITTEN_S = 2.0
+#: A key that was taken away is no longer served after this time.
+REVOKE_MS = 5000
+
+
+def configuration_of(version, *, keys=('k1',)):
+    return {
+        **platforms.CONFIGURATION,
+        'version': version,
+        'tenants': [{'name': 't1', 'api_keys': list(keys)}],
+    }
+
+
+def server_of(number, **changes):
+    return {
+        **platforms.SERVER,
+        'address': f'10.0.0.{number}:80',
+        'born': 1000,
+        **changes,
+    }
+
+
+async def started_scene(*, versions=(7,), entries=3, targets=3):
+    scene = store_entries.StoreScene()
+    for number in range(targets):
+        scene.store.put(f'servers/i-{number}', server_of(number))
+    for version in versions:
+        scene.store.put('op/config', configuration_of(version))
+    await scene.start(entries)
+    return scene
+
+
+async def lose_versions(scene, versions):
+    """Writes versions that the next restore loses; the store is down then."""
+    copied = scene.store.copy()
+    for version in versions:
+        scene.store.put('op/config', configuration_of(version))
+        await asyncio.sleep(0.3)
+    await asyncio.sleep(APPLY_S)
+    scene.store.go_down()
+    await asyncio.sleep(AWAY_S)
+    return copied
+
+
+@pytest.mark.parametrize('lost', [1, 5, 25])
+@hosts.virtual
+async def test_version_written_after_a_restore_is_in_force_in_time(lost):
+    scene = await started_scene()
+    newest = 7 + lost
+    copied = await lose_versions(scene, range(8, newest + 1))
+    scene.store.restore(copied)
+    scene.store.put('op/config', configuration_of(newest))
+    await asyncio.sleep(REWRITTEN_S)
+    scene.store.put('op/config', configuration_of(newest + 1))
+    await asyncio.sleep(APPLY_S)
+    assert {entry.version for entry in scene.entries} == {newest + 1}
+
+
+@hosts.virtual
+async def test_older_copy_of_the_configuration_is_never_in_force():
+    scene = await started_scene()
+    copied = await lose_versions(scene, [8, 9])
+    scene.store.restore(copied)
+    for _ in range(40):
+        await asyncio.sleep(0.1)
+        assert {entry.version for entry in scene.entries} == {9}
+
+
+@hosts.virtual
+async def test_configuration_that_the_store_no_longer_holds_grows_old():
+    scene = await started_scene()
+    copied = await lose_versions(scene, [8, 9])
+    scene.store.restore(copied)
+    await asyncio.sleep(REVOKE_MS / 1000)
+    assert all(entry.age_ms >= REVOKE_MS for entry in scene.entries)
+
+
+@pytest.mark.parametrize('lost', [0, 1, 25])
+@hosts.virtual
+async def test_restore_costs_each_entry_a_few_calls(lost):
+    scene = await started_scene()
+    copied = scene.store.copy()
+    for version in range(8, 8 + lost):
+        scene.store.put('op/config', configuration_of(version))
+    await asyncio.sleep(1)
+    before = [scene.store.calls_of(entry.name) for entry in scene.entries]
+    await asyncio.sleep(10)
+    usual = [
+        scene.store.calls_of(entry.name) - count
+        for entry, count in zip(scene.entries, before, strict=True)
+    ]
+    scene.store.go_down()
+    await asyncio.sleep(AWAY_S)
+    scene.store.restore(copied)
+    scene.store.calls.clear()
+    await asyncio.sleep(10)
+    after = [scene.store.calls_of(entry.name) for entry in scene.entries]
+    assert max(after) <= max(usual) + 10
+
+
+@pytest.mark.parametrize('number', [0, 1, 2])
+@hosts.virtual
+async def test_change_below_a_revision_given_out_again_is_not_missed(number):
+    scene = await started_scene()
+    copied = scene.store.copy()
+    scene.store.put('op/config', configuration_of(8))
+    await asyncio.sleep(APPLY_S)
+    away = scene.entries[number]
+    scene.cut_off(away)
+    scene.store.restore(copied)
+    scene.store.put('op/config', configuration_of(9))
+    for number in range(5):
+        scene.store.put(f'servers/new-{number}', server_of(10 + number))
+    await asyncio.sleep(1)
+    scene.store.cut.clear()
+    await asyncio.sleep(APPLY_S)
+    assert 'new-0' in away.usable()
+    await asyncio.sleep(2 * APPLY_S)
+    assert away.version == 9
+
+
+@hosts.virtual
+async def test_target_change_below_a_revision_given_out_again_is_not_missed():
+    scene = await started_scene()
+    copied = scene.store.copy()
+    scene.store.put('servers/new', server_of(9, seq=1))
+    await asyncio.sleep(0.05)
+    # The lists pause after an answer, so that they do not notice the loss.
+    scene.store.go_down()
+    await asyncio.sleep(0.05)
+    scene.store.restore(copied)
+    scene.store.put('servers/i-0', server_of(0, state='draining', seq=5))
+    scene.store.put('servers/new', server_of(9, seq=2))
+    await asyncio.sleep(store_entries.DRAIN_MS / 1000)
+    assert all('i-0' not in entry.usable() for entry in scene.entries)
+
+
+@pytest.mark.parametrize('phase_s', [0.0, 0.1, 0.2, 0.3])
+@pytest.mark.parametrize('away_s', [0.05, AWAY_S])
+@hosts.virtual
+async def test_target_that_joined_in_the_lost_time_stays_in_use(
+    away_s, phase_s
+):
+    scene = await started_scene()
+    copied = scene.store.copy()
+    scene.store.put('servers/new', server_of(9, seq=1))
+    await asyncio.sleep(0.05 + phase_s)
+    scene.store.go_down()
+    await asyncio.sleep(away_s)
+    scene.store.restore(copied)
+    for step in range(10):
+        await asyncio.sleep(0.2)
+        if step == 8:
+            scene.store.put('servers/new', server_of(9, seq=2))
+        assert all('new' in entry.usable() for entry in scene.entries)
+    await asyncio.sleep(2)
+    assert all('new' in entry.usable() for entry in scene.entries)
+
+
+@pytest.mark.parametrize('is_announced', [True, False])
+@hosts.virtual
+async def test_target_that_left_in_the_lost_time_stays_out_of_use(
+    is_announced,
+):
+    scene = await started_scene()
+    copied = scene.store.copy()
+    if is_announced:
+        scene.store.put('servers/i-0', server_of(0, state='draining', seq=5))
+        await asyncio.sleep(1)
+    scene.store.delete('servers/i-0')
+    await asyncio.sleep(2)
+    scene.store.go_down()
+    await asyncio.sleep(AWAY_S)
+    scene.store.restore(copied)
+    for _ in range(30):
+        await asyncio.sleep(0.1)
+        assert all('i-0' not in entry.usable() for entry in scene.entries)
+
+
+@hosts.virtual
+async def test_draining_target_is_not_ready_again_after_a_restore():
+    scene = await started_scene()
+    copied = scene.store.copy()
+    scene.store.put('servers/i-0', server_of(0, state='draining', seq=5))
+    await asyncio.sleep(2)
+    scene.store.restore(copied)
+    for _ in range(30):
+        await asyncio.sleep(0.1)
+        assert all('i-0' not in entry.usable() for entry in scene.entries)
