Documents are ordered by the operators' version, then by era and revision

Cause: the store's revision was taken to rise for ever. It was the version of the product's document, so that all later documents ranked below a lost one; the reader dropped answers with a lower revision, started the next watch at once, which got 410 (a loop of 250 calls a second), and each dropped answer confirmed the held document.

Change: DocumentOrder (operators' version, era, revision, digest) is made in one place, sent between processes and logged. A text no longer contains its revision, so that equal documents need no transfer. Readers hand over what the store holds, the holder compares; a document is confirmed only if the store's answer has its text, and not while the store may lack what it had acknowledged (2.2 s after a rise of the era). A rise of the era, seen in any answer, starts each reader anew after a random pause; answers of an earlier era and pages of two eras are not used. A service that answers at once is never asked again without a pause. The control protocol is 4: versions of 3 were revisions.

--- a/src/carobslip/adapters/platform_client.py
+++ b/src/carobslip/adapters/platform_client.py
@@ -34,24 +34,24 @@
         self,
         after_version: int,
         wait_ms: int,
-    ) -> str | None:
+    ) -> fleet.PublishedDocument | fleet.NoDocument:
         """Reads the operators' document by long polling.
 
         Args:
             after_version: Version that the caller already has.
             wait_ms: How long the platform may wait for a higher version.
 
-        Returns:
-            The document's text; None when there is no higher version yet.
-
         Raises:
             fleet.PlatformUnavailable: The service did not answer.
         """
-        return await self._get(
+        text = await self._get(
             self._addresses.configuration_url,
             {'after_version': str(after_version), 'wait_ms': str(wait_ms)},
             wait_ms / 1000 + _RESPONSE_TIMEOUT_S,
         )
+        if text is None:
+            return fleet.NoDocument.UNCHANGED
+        return fleet.PublishedDocument(text=text)
 
     async def read_instances(self) -> tuple[directory.InstanceRecord, ...]:
         """Reads the list of instances.
--- a/src/carobslip/configuration/__init__.py
+++ b/src/carobslip/configuration/__init__.py
@@ -19,6 +19,7 @@
     WeightedService,
 )
 from carobslip.configuration._holder import Adoption, Holder
+from carobslip.configuration._order import DocumentOrder
 from carobslip.configuration._package import (
     MalformedPackage,
     Package,
@@ -43,6 +44,7 @@
     'Adoption',
     'CallerLimits',
     'Configuration',
+    'DocumentOrder',
     'EngineFigures',
     'ForwardedService',
     'Forwarding',
--- a/src/carobslip/configuration/_holder.py
+++ b/src/carobslip/configuration/_holder.py
@@ -1,11 +1,19 @@
-"""The configuration that a process holds; its rank never decreases."""
+"""The configuration that a process holds; its order never decreases."""
 
 import enum
 from collections.abc import Callable
 from typing import Final
 
+import msgspec
+
 from carobslip import clocks, hashing
-from carobslip.configuration import _document, _errors, _reader, _resolver
+from carobslip.configuration import (
+    _document,
+    _errors,
+    _order,
+    _reader,
+    _resolver,
+)
 
 #: Age of a document that no source has confirmed yet.
 _UNCONFIRMED_AGE_MS: Final = 1e9
@@ -23,9 +31,6 @@
 class Holder:
     """Holds the highest valid configuration that was offered so far.
 
-    Two documents with the same version are an operators' mistake; the one
-    with the higher digest wins everywhere, so that the fleet converges.
-
     Args:
         clock: Measures the age of the held document.
         on_adopted: Called after each change with the new document.
@@ -40,22 +45,16 @@
         self.clock = clock
         self._on_adopted = on_adopted
         self._resolver: _resolver.Resolver | None = None
-        self._digest = 0
+        self._refused: tuple[_order.DocumentOrder, Adoption] | None = None
         self._confirmed_ms = clock.now_ms() - _UNCONFIRMED_AGE_MS
+        self.order = _order.DocumentOrder()
         self.text = ''
         self.last_fault = ''
 
     @property
     def version(self) -> int:
         """Version of the held document; 0 before the first one."""
-        if self._resolver is None:
-            return 0
-        return self._resolver.configuration.version
-
-    @property
-    def rank(self) -> tuple[int, int]:
-        """Version and digest, by which documents are ordered."""
-        return self.version, self._digest
+        return self.order.version
 
     @property
     def resolver(self) -> _resolver.Resolver:
@@ -81,7 +80,20 @@
         """Records that the held document was the newest at ``as_of_ms``."""
         self._confirmed_ms = max(self._confirmed_ms, as_of_ms)
 
-    def offer(self, text: str, *, source: str) -> Adoption:
+    def note_order(self, order: _order.DocumentOrder) -> None:
+        """Raises the order of the held document if it was published again."""
+        is_held = order.document_id == self.order.document_id
+        if is_held and order > self.order:
+            self.order = order
+
+    def offer(
+        self,
+        text: str,
+        *,
+        source: str,
+        era: int = 0,
+        revision: int = 0,
+    ) -> Adoption:
         """Adopts a document if it is valid and higher than the held one.
 
         A document does not contain the time at which it was the newest one; a
@@ -90,28 +102,52 @@
         Args:
             text: JSON with comments.
             source: Where it came from, for error messages.
+            era: The platform's era in which it was published.
+            revision: The platform's revision of it, within that era.
         """
+        published = msgspec.structs.replace(
+            self.order, era=era, revision=revision
+        )
         if text == self.text:
+            self.note_order(published)
             return Adoption.SAME
+        digest = hashing.digest_names(text)
+        refused = msgspec.structs.replace(published, digest=digest)
+        if self._refused is not None and self._refused[0] == refused:
+            # Parsing a large document again for each answer takes too long.
+            return self._refused[1]
+        adoption = self._offer_other(text, source, refused)
+        is_adopted = adoption is Adoption.ADOPTED
+        self._refused = None if is_adopted else (refused, adoption)
+        return adoption
+
+    def _offer_other(
+        self,
+        text: str,
+        source: str,
+        published: _order.DocumentOrder,
+    ) -> Adoption:
+        """Offers a document whose text differs from the held one."""
         try:
             offered = _reader.read_configuration(text, source=source)
         except _errors.InvalidDocument as fault:
             self.last_fault = str(fault)
             return Adoption.INVALID
-        digest = hashing.digest_names(text)
-        if (offered.version, digest) <= self.rank:
+        order = msgspec.structs.replace(published, version=offered.version)
+        if order <= self.order:
+            self.last_fault = f'{order} is not higher than {self.order}'
             return Adoption.OLDER
-        self._adopt(offered, text, digest)
+        self._adopt(offered, text, order)
         return Adoption.ADOPTED
 
     def _adopt(
         self,
         offered: _document.Configuration,
         text: str,
-        digest: int,
+        order: _order.DocumentOrder,
     ) -> None:
         self.text = text
-        self._digest = digest
+        self.order = order
         self._resolver = _resolver.Resolver(
             configuration=offered,
             clock=self.clock,
--- a/src/carobslip/configuration/_package.py
+++ b/src/carobslip/configuration/_package.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from carobslip.configuration import _order
+
 #: Lowest zlib level: documents repeat names and numbers, and compressing a
 #: large one takes a few milliseconds.
 _COMPRESSION_LEVEL: Final = 1
@@ -20,18 +22,18 @@
     """A compressed document, as sent between processes.
 
     Attributes:
-        rank: Its version and digest.
+        order: Its order when it was compressed.
         content: The compressed text.
     """
 
-    rank: tuple[int, int]
+    order: _order.DocumentOrder
     content: bytes
 
 
-def pack(text: str, rank: tuple[int, int]) -> Package:
+def pack(text: str, order: _order.DocumentOrder) -> Package:
     """Compresses a document."""
     return Package(
-        rank=rank, content=zlib.compress(text.encode(), _COMPRESSION_LEVEL)
+        order=order, content=zlib.compress(text.encode(), _COMPRESSION_LEVEL)
     )
 
 
--- a/src/carobslip/control/_codec.py
+++ b/src/carobslip/control/_codec.py
@@ -6,7 +6,7 @@
 
 from carobslip.control import _messages
 
-PROTOCOL: Final = 3
+PROTOCOL: Final = 4
 #: Fits a list of some thousand targets with its envelope.
 MESSAGE_MAX_BYTES: Final = 1_200_000
 
--- a/src/carobslip/control/_fetcher.py
+++ b/src/carobslip/control/_fetcher.py
@@ -19,7 +19,6 @@
 #: Interval at which `finish` checks whether the transfer has ended.
 _POLL_S: Final = 0.01
 
-Rank = tuple[int, int]
 AskPart = Callable[
     [str, _messages.FetchConfiguration, float],
     Awaitable[_messages.ConfigurationPart],
@@ -53,26 +52,26 @@
         self._ask = ask
         self._log = log
         self._pause_ms = pause_ms
-        self._ranks_ahead: dict[str, Rank] = {}
-        self._refused: collections.deque[Rank] = collections.deque(
+        self._ahead: dict[str, configuration.DocumentOrder] = {}
+        self._refused: collections.deque[tuple[int, int]] = collections.deque(
             maxlen=_REFUSED_KEPT,
         )
-        self._rank: Rank = (0, 0)
+        self._order = configuration.DocumentOrder()
         self._content = b''
         self._next_start_ms = 0.0
         self._timed_out = False
         self._is_closed = False
         self._transfer: asyncio.Task[None] | None = None
 
-    def note(self, address: str, rank: Rank) -> None:
-        """Records the rank of a peer's document; starts a fetch if newer."""
-        self._ranks_ahead.pop(address, None)
-        if rank <= self._holder.rank or rank in self._refused:
+    def note(self, address: str, order: configuration.DocumentOrder) -> None:
+        """Records the order of a peer's document; starts a fetch if newer."""
+        self._ahead.pop(address, None)
+        if not self._is_worth_fetching(order):
             return
         if self._is_closed:
             return
         # Keeps the peers ordered by their latest announcement.
-        self._ranks_ahead[address] = rank
+        self._ahead[address] = order
         if self._transfer is None or self._transfer.done():
             self._transfer = asyncio.ensure_future(self._fetch_all())
 
@@ -81,9 +80,9 @@
 
         Versions that are announced during the wait are not waited for.
         """
-        wanted = max(self._ranks_ahead.values(), default=self._holder.rank)
+        wanted = max(self._ahead.values(), default=self._holder.order)
         while self._transfer is not None and not self._transfer.done():
-            if self._holder.rank >= wanted:
+            if self._holder.order >= wanted:
                 return
             await asyncio.wait([self._transfer], timeout=_POLL_S)
 
@@ -105,25 +104,28 @@
             self._next_start_ms = now_ms + self._pause_ms
             await self._fetch(address)
 
+    def _is_worth_fetching(self, order: configuration.DocumentOrder) -> bool:
+        is_refused = order.document_id in self._refused
+        return order > self._holder.order and not is_refused
+
     def _choose_peer(self) -> str | None:
-        """Returns a peer that holds the highest rank worth fetching.
+        """Returns a peer that holds the highest document worth fetching.
 
         After a timeout it is the peer with the latest announcement, because
         many peers may have died at once.
         """
-        held = self._holder.rank
-        self._ranks_ahead = {
-            address: rank
-            for address, rank in self._ranks_ahead.items()
-            if rank > held and rank not in self._refused
+        self._ahead = {
+            address: order
+            for address, order in self._ahead.items()
+            if self._is_worth_fetching(order)
         }
-        if not self._ranks_ahead:
+        if not self._ahead:
             return None
-        highest = max(self._ranks_ahead.values())
+        highest = max(self._ahead.values())
         peers = [
             address
-            for address, rank in self._ranks_ahead.items()
-            if rank == highest
+            for address, order in self._ahead.items()
+            if order == highest
         ]
         return peers[-1] if self._timed_out else random.choice(peers)
 
@@ -136,7 +138,9 @@
             outcome=outcome,
             size_bytes=len(self._content),
             took_ms=round(self._holder.clock.now_ms() - started_ms),
-            fetched=self._rank[0],
+            fetched=self._order.version,
+            era=self._order.era,
+            revision=self._order.revision,
             version=self._holder.version,
         )
         if not self._timed_out:
@@ -154,7 +158,7 @@
             outcome = 'no answer'
         except configuration.MalformedPackage as fault:
             outcome = f'malformed: {fault}'
-        self._ranks_ahead.pop(address, None)
+        self._ahead.pop(address, None)
         return outcome
 
     async def _gather_parts(self, address: str) -> bool:
@@ -183,17 +187,17 @@
         Raises:
             MalformedPackage: The part does not start where that content ends.
         """
-        rank = part.version, part.digest
-        if rank != self._rank or part.offset != len(self._content):
+        is_same = part.order.document_id == self._order.document_id
+        if not is_same or part.offset != len(self._content):
             # The peer now holds another document; this part must be its first.
             if part.offset:
                 raise configuration.MalformedPackage('parts out of order')
-            self._rank = rank
             self._content = b''
+        self._order = part.order
         self._content += part.content
 
     async def _next_part(self, address: str) -> _messages.ConfigurationPart:
-        version, digest = self._rank if self._content else (0, 0)
+        version, digest = self._order.document_id if self._content else (0, 0)
         request = _messages.FetchConfiguration(
             version=version,
             digest=digest,
@@ -210,9 +214,14 @@
 
     def _offer(self, address: str) -> str:
         text = configuration.unpack(self._content)
-        adoption = self._holder.offer(text, source=address)
+        adoption = self._holder.offer(
+            text,
+            source=address,
+            era=self._order.era,
+            revision=self._order.revision,
+        )
         if adoption is configuration.Adoption.INVALID:
-            self._refused.append(self._rank)
+            self._refused.append(self._order.document_id)
         if adoption is not configuration.Adoption.ADOPTED:
-            self._ranks_ahead.pop(address, None)
+            self._ahead.pop(address, None)
         return adoption.value
--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -8,7 +8,14 @@
 
 import msgspec
 
-from carobslip import crashes, directory, expertmap, identifiers, targets
+from carobslip import (
+    configuration,
+    crashes,
+    directory,
+    expertmap,
+    identifiers,
+    targets,
+)
 
 _NAME_MAX_CHARS = 128
 _MEMBERS_MAX = 64
@@ -138,6 +145,8 @@
         size_bytes: Size of the whole package.
         offset: Position of this part in the package.
         content: The bytes from there.
+        era: The platform's era in which the document was published.
+        revision: The platform's revision of it.
     """
 
     version: int
@@ -145,6 +154,18 @@
     size_bytes: Annotated[int, msgspec.Meta(ge=0, le=_PACKAGE_MAX_BYTES)] = 0
     offset: int = 0
     content: bytes = b''
+    era: int = 0
+    revision: int = 0
+
+    @property
+    def order(self) -> configuration.DocumentOrder:
+        """Order of the document."""
+        return configuration.DocumentOrder(
+            version=self.version,
+            era=self.era,
+            revision=self.revision,
+            digest=self.digest,
+        )
 
 
 class FetchTargets(_Message, frozen=True, kw_only=True):
@@ -458,6 +479,9 @@
         message: The content.
         crashes_digest: Digest of the crashes that the sender knows of; None if
             it keeps none.
+        configuration_era: The platform's era in which the document was
+            published.
+        configuration_revision: The platform's revision of it.
     """
 
     protocol: int
@@ -467,3 +491,15 @@
     configuration_age_ms: float = 1e9
     message: Message
     crashes_digest: int | None = None
+    configuration_era: int = 0
+    configuration_revision: int = 0
+
+    @property
+    def configuration_order(self) -> configuration.DocumentOrder:
+        """Order of the document that the sender holds."""
+        return configuration.DocumentOrder(
+            version=self.configuration_version,
+            era=self.configuration_era,
+            revision=self.configuration_revision,
+            digest=self.configuration_digest,
+        )
--- a/src/carobslip/control/_node.py
+++ b/src/carobslip/control/_node.py
@@ -164,16 +164,18 @@
         return frame
 
     def _wrap(self, message: _messages.Message) -> bytes:
-        version, digest = self.holder.rank
+        held = self.holder.order
         return _codec.encode(
             _messages.Envelope(
                 protocol=_codec.PROTOCOL,
                 origin=self.origin,
-                configuration_version=version,
-                configuration_digest=digest,
+                configuration_version=held.version,
+                configuration_digest=held.digest,
                 configuration_age_ms=self.holder.age_ms(),
                 message=message,
                 crashes_digest=self._crashes_digest(),
+                configuration_era=held.era,
+                configuration_revision=held.revision,
             ),
         )
 
@@ -202,10 +204,9 @@
             return _messages.Refused(fault=repr(fault)[:500])
 
     def _compare_versions(self, envelope: _messages.Envelope) -> None:
-        self._fetcher.note(
-            envelope.origin.control_address,
-            (envelope.configuration_version, envelope.configuration_digest),
-        )
+        order = envelope.configuration_order
+        self.holder.note_order(order)
+        self._fetcher.note(envelope.origin.control_address, order)
         own = self._crashes_digest()
         if own is not None and envelope.crashes_digest not in {None, own}:
             self._on_crashes_differ(envelope.origin)
@@ -217,11 +218,8 @@
     ) -> None:
         # The answer was written after the request was sent, so subtracting the
         # age from the send time is safe however long the answer took to arrive.
-        peer_rank = (
-            envelope.configuration_version,
-            envelope.configuration_digest,
-        )
-        if peer_rank == self.holder.rank:
+        peer_order = envelope.configuration_order
+        if peer_order.document_id == self.holder.order.document_id:
             self.holder.confirm(sent_ms - envelope.configuration_age_ms)
 
     async def _ask_part(
--- a/src/carobslip/control/_package_cache.py
+++ b/src/carobslip/control/_package_cache.py
@@ -37,17 +37,18 @@
         """
         if not self._holder.text:
             return _messages.ConfigurationPart(version=0, digest=0)
-        rank = request.version, request.digest
-        package = self._packages.get(rank) or self._pack_held()
-        offset = request.offset if package.rank == rank else 0
+        document_id = request.version, request.digest
+        package = self._packages.get(document_id) or self._pack_held()
+        is_asked_for = package.order.document_id == document_id
+        offset = request.offset if is_asked_for else 0
         return _part_of(package, offset)
 
     def _pack_held(self) -> configuration.Package:
-        rank = self._holder.rank
-        package = self._packages.get(rank)
+        order = self._holder.order
+        package = self._packages.get(order.document_id)
         if package is None:
-            package = configuration.pack(self._holder.text, rank)
-            self._packages[rank] = package
+            package = configuration.pack(self._holder.text, order)
+            self._packages[order.document_id] = package
             if len(self._packages) > _PACKAGES_MAX:
                 self._packages.popitem(last=False)
         return package
@@ -57,10 +58,11 @@
     package: configuration.Package,
     offset: int,
 ) -> _messages.ConfigurationPart:
-    version, digest = package.rank
     return _messages.ConfigurationPart(
-        version=version,
-        digest=digest,
+        version=package.order.version,
+        digest=package.order.digest,
+        era=package.order.era,
+        revision=package.order.revision,
         size_bytes=len(package.content),
         offset=offset,
         content=package.content[offset : offset + PART_BYTES],
--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -95,6 +95,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._background_tasks: set[asyncio.Task[None]] = set()
         self._platform_answered = False
+        self._not_adopted: tuple[int, int] | None = None
         self._is_prepared = False
         self.on_configuration: Callable[[], None] = _do_nothing
         self.on_members: Callable[[], None] = _do_nothing
@@ -253,9 +254,10 @@
         return _watchers.is_watcher(self.record, usable)
 
     async def _read_service(self, *, wait_ms: int) -> bool:
+        """Reads the configuration; tells whether to ask again at once."""
         asked_ms = self.clock.now_ms()
         try:
-            text = await self._platform.read_configuration(
+            published = await self._platform.read_configuration(
                 self.holder.version,
                 wait_ms,
             )
@@ -266,24 +268,54 @@
             )
             return False
         self._note_platform_reached()
-        if text is None:
+        if published is _platform_port.NoDocument.UNUSABLE:
+            return False
+        if published is _platform_port.NoDocument.UNCHANGED:
             self.holder.confirm(asked_ms)
             return True
-        return self._offer(text, asked_ms)
-
-    def _offer(self, text: str, asked_ms: float) -> bool:
-        adoption = self.holder.offer(text, source='configuration service')
+        if self._offer(published, asked_ms):
+            return True
+        # A service that answers without waiting has nothing new to tell;
+        # asking it again without a pause would flood it.
+        return self.clock.now_ms() - asked_ms >= _RETRY_S * 1000
+
+    def _offer(
+        self, published: _platform_port.PublishedDocument, asked_ms: float
+    ) -> bool:
+        """Offers what the service holds; tells whether it was adopted."""
+        adoption = self.holder.offer(
+            published.text,
+            source='configuration service',
+            era=published.era,
+            revision=published.revision,
+        )
         if adoption in _NEWEST:
-            self.holder.confirm(asked_ms)
-        if adoption is configuration.Adoption.INVALID:
-            self.log.write(
-                observability.Event.CONFIGURATION_REFUSED,
-                fault=self.holder.last_fault,
-            )
-        # A service that immediately returns a document that is not newer is
-        # stale; polling it without a pause would flood it.
+            if published.is_settled:
+                self.holder.confirm(asked_ms)
+        else:
+            self._note_not_adopted(published, adoption)
         return adoption is configuration.Adoption.ADOPTED
 
+    def _note_not_adopted(
+        self,
+        published: _platform_port.PublishedDocument,
+        adoption: configuration.Adoption,
+    ) -> None:
+        offered = published.era, published.revision
+        if offered == self._not_adopted:
+            return
+        self._not_adopted = offered
+        is_invalid = adoption is configuration.Adoption.INVALID
+        self.log.write(
+            observability.Event.CONFIGURATION_REFUSED
+            if is_invalid
+            else observability.Event.CONFIGURATION_NOT_ADOPTED,
+            fault=self.holder.last_fault,
+            era=published.era,
+            revision=published.revision,
+            unconfirmed_ms=round(self.holder.age_ms()),
+        )
+
     async def _poll_list(self) -> None:
         periods = 0
         while True:
@@ -342,6 +374,8 @@
         self.log.write(
             observability.Event.CONFIGURATION_ADOPTED,
             version=adopted.version,
+            era=self.holder.order.era,
+            revision=self.holder.order.revision,
         )
         self.on_configuration()
         if self._tasks:
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -104,6 +104,12 @@
         'store-restored',
         'The platform came back from an older copy of what it publishes.',
     )
+    STORE_ANSWER_REFUSED = (
+        213,
+        'store-answer-refused',
+        'An answer of the platform was not used: it comes from before the last '
+        'restore, or does not tell whether it does.',
+    )
     MEMBER_CHANGED = (
         301,
         'member-changed',
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -71,7 +71,7 @@
         self,
         after_version: int,
         wait_ms: int,
-    ) -> str | None:
+    ) -> fleet.PublishedDocument | fleet.NoDocument:
         """Refuses; guards are no readers of the platform."""
         raise fleet.PlatformUnavailable('guards do not read the platform')
 
--- a/src/carobslip/targets/_records.py
+++ b/src/carobslip/targets/_records.py
@@ -72,8 +72,18 @@
     revision: int
 
 
+class TargetListRestored(msgspec.Struct, frozen=True, kw_only=True):
+    """The source came back from an older copy; recent changes are lost."""
+
+    revision: int
+
+
 TargetUpdate = (
-    TargetSnapshot | TargetChange | TargetListLost | TargetListReached
+    TargetSnapshot
+    | TargetChange
+    | TargetListLost
+    | TargetListReached
+    | TargetListRestored
 )
 
 
--- a/src/carobslip/targets/_registry.py
+++ b/src/carobslip/targets/_registry.py
@@ -113,7 +113,9 @@
             return
         if self._is_lost:
             self._note_reached(update.revision)
-        if isinstance(update, _records.TargetListReached):
+        if isinstance(
+            update, _records.TargetListReached | _records.TargetListRestored
+        ):
             return
         if isinstance(update, _records.TargetSnapshot):
             self._replace_all(update)
