Targets keep their state when the list comes back from an older copy

Targets that had left were used again after a restore of the store, and those that had joined within the lost time were dropped although they ran.

Cause: the list's word was final outside an outage, and a restore shorter than the pause between two watches is not seen as one; what was forgotten had no report order left that a copy's old entry could be compared with.

Change: a restore opens the same window as an outage, in which missing targets stay in use for 2.2 s. The last reports of targets that have left are kept for 60 s; an entry of a restored list that is no newer is ignored, and logged as such.

New tests: a target that reports anew is used, one that stays missing is gone.

--- a/src/carobslip/targets/_registry.py
+++ b/src/carobslip/targets/_registry.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from carobslip import clocks, identifiers, observability
-from carobslip.targets import _records
+from carobslip.targets import _departures, _records
 
 #: Targets whose entries expired during an outage of the list register again
 #: within two seconds of its recovery; the rest covers reading the list.
@@ -42,6 +42,7 @@
         ] = {}
         self._replaced: set[identifiers.TargetId] = set()
         self._grace_until_ms: dict[identifiers.TargetId, float] = {}
+        self._departures = _departures.Departures(clock=clock)
         self._failed_ms = -_OUTAGE_WINDOW_MS
         self._is_lost = False
         self.revision = 0
@@ -113,9 +114,10 @@
             return
         if self._is_lost:
             self._note_reached(update.revision)
-        if isinstance(
-            update, _records.TargetListReached | _records.TargetListRestored
-        ):
+        if isinstance(update, _records.TargetListReached):
+            return
+        if isinstance(update, _records.TargetListRestored):
+            self._note_restored()
             return
         if isinstance(update, _records.TargetSnapshot):
             self._replace_all(update)
@@ -123,7 +125,7 @@
             self._remove(update.target, update.revision)
         else:
             self._store(update.record, update.revision)
-        self.revision = max(self.revision, update.revision)
+        self.revision = update.revision
         if self._on_changed is not None:
             self._on_changed()
 
@@ -151,6 +153,12 @@
             revision=revision,
         )
 
+    def _note_restored(self) -> None:
+        # Entries written within the lost time are missing until their targets
+        # write them again, as after an outage.
+        self._failed_ms = self._clock.now_ms()
+        self._departures.note_restored()
+
     def _replace_all(self, snapshot: _records.TargetSnapshot) -> None:
         listed = {record.target for record in snapshot.records}
         for target in list(self._records):
@@ -161,11 +169,15 @@
 
     def _store(self, record: _records.TargetRecord, revision: int) -> None:
         known = self._records.get(record.target)
-        if known is not None and record.report_order < known.report_order:
+        if known is None:
+            held = self._departures.find_last_report(record)
+        else:
+            held = known.report_order
+        if held is not None and record.report_order < held:
             self._log.write(
                 observability.Event.TARGET_REPORT_IGNORED,
                 target=record.target,
-                held=known.report_order,
+                held=held,
                 offered=record.report_order,
                 revision=revision,
             )
@@ -208,7 +220,9 @@
     def _forget(self, target: identifiers.TargetId, revision: int) -> None:
         self._grace_until_ms.pop(target, None)
         self._replaced.discard(target)
-        if self._records.pop(target, None) is not None:
+        record = self._records.pop(target, None)
+        if record is not None:
+            self._departures.add(record)
             self._log.write(
                 observability.Event.TARGET_UNLISTED,
                 target=target,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -203,3 +203,39 @@
     for _ in range(30):
         await asyncio.sleep(0.1)
         assert all('i-0' not in entry.usable() for entry in scene.entries)
+
+
+# name: report of a target that left in the lost time
+NEW_REPORTS = {
+    'the same start, a later report': {'seq': 6},
+    'a later start, its first report': {'born': 2000, 'seq': 1},
+}
+
+
+@pytest.mark.parametrize('name', NEW_REPORTS)
+@hosts.virtual
+async def test_target_that_reports_anew_after_a_restore_is_used(name):
+    scene = await started_scene()
+    copied = scene.store.copy()
+    scene.store.delete('servers/i-0')
+    await asyncio.sleep(3)
+    scene.store.go_down()
+    await asyncio.sleep(AWAY_S)
+    scene.store.restore(copied)
+    await asyncio.sleep(1)
+    scene.store.put('servers/i-0', server_of(0, **NEW_REPORTS[name]))
+    await asyncio.sleep(1)
+    assert all('i-0' in entry.usable() for entry in scene.entries)
+
+
+@hosts.virtual
+async def test_target_missing_long_after_a_restore_counts_as_gone():
+    scene = await started_scene()
+    copied = scene.store.copy()
+    scene.store.put('servers/new', server_of(9, seq=1))
+    await asyncio.sleep(1)
+    scene.store.go_down()
+    await asyncio.sleep(AWAY_S)
+    scene.store.restore(copied)
+    await asyncio.sleep(REWRITTEN_S + 1)
+    assert all('new' not in entry.usable() for entry in scene.entries)
