Evacuations hold while a restored platform may lack them

An evacuation that was acknowledged within the lost time ended as soon as an entry read the older copy, and began again when it was written again; requests reached the zone in between.

Cause: evacuations are keys of their own without a version, so that the first document of a new era replaced them.

Change: for 2.2 s after the first document of a new era, a data centre is withdrawn if either that document or the one before says so; then the platform's word holds. The cost: a zone that is released within the lost time gets work up to two seconds later, and an entry that starts within that time does not know of a lost evacuation.

--- a/src/carobslip/configuration/_holder.py
+++ b/src/carobslip/configuration/_holder.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
-from carobslip import clocks, hashing
+from carobslip import clocks, hashing, identifiers
 from carobslip.configuration import (
     _document,
     _errors,
     _order,
     _reader,
     _resolver,
+    _withdrawn,
 )
 
 #: Age of a document that no source has confirmed yet.
@@ -47,6 +48,7 @@
         self._resolver: _resolver.Resolver | None = None
         self._refused: tuple[_order.DocumentOrder, Adoption] | None = None
         self._confirmed_ms = clock.now_ms() - _UNCONFIRMED_AGE_MS
+        self._withdrawn = _withdrawn.WithdrawnDataCentres(clock=clock)
         self.order = _order.DocumentOrder()
         self.text = ''
         self.last_fault = ''
@@ -72,6 +74,10 @@
         """The held document; raises LookupError before the first one."""
         return self.resolver.configuration
 
+    def withdrawn_data_centres(self) -> frozenset[identifiers.DataCentreId]:
+        """Data centres that must get no new work."""
+        return self._withdrawn.names()
+
     def age_ms(self) -> float:
         """Time since a source last confirmed the held document."""
         return self.clock.now_ms() - self._confirmed_ms
@@ -146,6 +152,7 @@
         text: str,
         order: _order.DocumentOrder,
     ) -> None:
+        self._withdrawn.replace(offered, is_new_era=self.order.era < order.era)
         self.text = text
         self.order = order
         self._resolver = _resolver.Resolver(
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -123,14 +123,8 @@
 
     def apply_configuration(self) -> None:
         """Puts the configuration of the holder in force."""
-        held = self._holder.configuration
         self._index = _table.ForwardingIndex(
-            table=held.forwarding,
-            withdrawn=frozenset(
-                entry.data_centre
-                for entry in held.out
-                if entry.data_centre is not None
-            ),
+            table=self._holder.configuration.forwarding,
         )
         self._configured.set()
         self.admission.recheck_queues()
@@ -395,7 +389,9 @@
     ) -> list[targets.TargetRecord]:
         if self._index is None:
             return []
-        return self._registry.usable(service, self._index.withdrawn)
+        return self._registry.usable(
+            service, self._holder.withdrawn_data_centres()
+        )
 
     def _end_without_place(
         self,
--- a/src/carobslip/forwarding/_table.py
+++ b/src/carobslip/forwarding/_table.py
@@ -10,17 +10,10 @@
 
     Args:
         table: The table in force.
-        withdrawn: Data centres that operators have taken out of service.
     """
 
-    def __init__(
-        self,
-        *,
-        table: configuration.Forwarding,
-        withdrawn: frozenset[identifiers.DataCentreId],
-    ) -> None:
+    def __init__(self, *, table: configuration.Forwarding) -> None:
         self.table = table
-        self.withdrawn = withdrawn
         self._routes: dict[str, dict[str, configuration.Route]] = {}
         for route in table.routes:
             by_prefix = self._routes.setdefault(route.host.lower(), {})
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -239,3 +239,78 @@
     scene.store.restore(copied)
     await asyncio.sleep(REWRITTEN_S + 1)
     assert all('new' not in entry.usable() for entry in scene.entries)
+
+
+async def restored_with(scene, change):
+    """Loses a change, then restores the store; yields to its readers."""
+    copied = scene.store.copy()
+    change()
+    await asyncio.sleep(APPLY_S)
+    scene.store.go_down()
+    await asyncio.sleep(AWAY_S)
+    scene.store.restore(copied)
+
+
+def withdrawn_at(scene):
+    return {
+        name
+        for entry in scene.entries
+        for name in entry.member.holder.withdrawn_data_centres()
+    }
+
+
+def all_withdraw(scene, name):
+    return all(
+        name in entry.member.holder.withdrawn_data_centres()
+        for entry in scene.entries
+    )
+
+
+@hosts.virtual
+async def test_evacuation_lost_with_the_store_holds_until_it_is_written_again():
+    scene = await started_scene()
+    await restored_with(scene, lambda: scene.store.put('op/evacuate/east', {}))
+    for step in range(40):
+        await asyncio.sleep(0.1)
+        if step == int(10 * REWRITTEN_S) - 1:
+            scene.store.put('op/evacuate/east', {})
+        assert all_withdraw(scene, 'east')
+
+
+@hosts.virtual
+async def test_evacuation_that_is_not_written_again_ends():
+    scene = await started_scene()
+    await restored_with(scene, lambda: scene.store.put('op/evacuate/east', {}))
+    await asyncio.sleep(REWRITTEN_S + APPLY_S)
+    assert not withdrawn_at(scene)
+
+
+@hosts.virtual
+async def test_release_lost_with_the_store_is_in_force_when_written_again():
+    scene = await started_scene()
+    scene.store.put('op/evacuate/east', {})
+    await asyncio.sleep(APPLY_S)
+    await restored_with(scene, lambda: scene.store.delete('op/evacuate/east'))
+    await asyncio.sleep(1)
+    assert all_withdraw(scene, 'east')
+    scene.store.delete('op/evacuate/east')
+    await asyncio.sleep(REWRITTEN_S + APPLY_S)
+    assert not withdrawn_at(scene)
+
+
+@hosts.virtual
+async def test_evacuation_holds_while_the_lost_version_is_written_again():
+    scene = await started_scene()
+
+    def change():
+        scene.store.put('op/evacuate/east', {})
+        scene.store.put('op/config', configuration_of(8))
+
+    await restored_with(scene, change)
+    await asyncio.sleep(1)
+    scene.store.put('op/config', configuration_of(8))
+    for step in range(30):
+        await asyncio.sleep(0.1)
+        if step == 8:
+            scene.store.put('op/evacuate/east', {})
+        assert all_withdraw(scene, 'east')
