Tests: newcomers, cut-off entries, repeated restores and unusable eras

A header that is absent, malformed or of an earlier era confirms nothing, a store that never names an era is used as before, and pages of two eras are read again.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from carobslip import observability
 from tests import test_users_platform as platforms
 from tests.fakes import host as hosts
 from tests.fakes import store_entries
@@ -17,6 +18,8 @@
 REWRITTEN_S = 2.0
 #: A key that was taken away is no longer served after this time.
 REVOKE_MS = 5000
+#: Requests with a key are served while the configuration is younger than this.
+SERVED_AGE_MS = 0.9 * REVOKE_MS
 
 
 def configuration_of(version, *, keys=('k1',)):
@@ -314,3 +317,125 @@
         if step == 8:
             scene.store.put('op/evacuate/east', {})
         assert all_withdraw(scene, 'east')
+
+
+@hosts.virtual
+async def test_entry_started_after_a_restore_learns_the_newer_version():
+    scene = await started_scene()
+    copied = await lose_versions(scene, [8, 9])
+    scene.store.restore(copied)
+    scene.entries[0].host.kill()
+    started = await scene.add('entry-0')
+    await asyncio.sleep(0.5)
+    assert started.version == 9
+    await asyncio.sleep(REVOKE_MS / 1000)
+    assert all(entry.version == 9 for entry in scene.entries)
+
+
+@hosts.virtual
+async def test_entry_that_was_cut_off_neither_brings_back_nor_refuses():
+    scene = await started_scene()
+    copied = scene.store.copy()
+    for version in range(8, 20):
+        scene.store.put('op/config', configuration_of(version))
+    await asyncio.sleep(APPLY_S)
+    away = scene.entries[0]
+    scene.cut_off(away)
+    scene.store.go_down()
+    await asyncio.sleep(AWAY_S)
+    scene.store.restore(copied)
+    scene.store.put('op/config', configuration_of(21))
+    await asyncio.sleep(APPLY_S)
+    assert away.version == 19
+    scene.reconnect()
+    await asyncio.sleep(APPLY_S)
+    assert {entry.version for entry in scene.entries} == {21}
+
+
+@hosts.virtual
+async def test_second_restore_is_noticed_like_the_first():
+    scene = await started_scene()
+    for version in (8, 18, 28):
+        copied = await lose_versions(scene, range(version, version + 5))
+        scene.store.restore(copied)
+        scene.store.put('op/config', configuration_of(version + 6))
+        await asyncio.sleep(APPLY_S)
+        assert {entry.version for entry in scene.entries} == {version + 6}
+
+
+@hosts.virtual
+async def test_document_is_confirmed_once_the_restored_store_is_settled():
+    scene = await started_scene()
+    copied = scene.store.copy()
+    scene.store.go_down()
+    await asyncio.sleep(AWAY_S)
+    scene.store.restore(copied)
+    await asyncio.sleep(REWRITTEN_S)
+    assert all(entry.age_ms >= 1000 * REWRITTEN_S for entry in scene.entries)
+    await asyncio.sleep(1.5)
+    assert all(entry.age_ms < SERVED_AGE_MS for entry in scene.entries)
+
+
+# name: headers that a store with eras must not send
+UNUSABLE_HEADERS = {
+    'none': {},
+    'empty': {'Store-Era': ''},
+    'text': {'Store-Era': 'two'},
+    'negative': {'Store-Era': '-2'},
+    'fraction': {'Store-Era': '2.0'},
+    'too long': {'Store-Era': '2' * 400},
+    'earlier': {'Store-Era': '0'},
+}
+
+
+@pytest.mark.parametrize('name', UNUSABLE_HEADERS)
+@hosts.virtual
+async def test_answer_without_a_usable_era_confirms_nothing(name):
+    scene = await started_scene()
+    scene.store.changed_headers = UNUSABLE_HEADERS[name]
+    await asyncio.sleep(1)
+    scene.store.put('op/config', configuration_of(8))
+    await asyncio.sleep(REVOKE_MS / 1000)
+    assert {entry.version for entry in scene.entries} == {7}
+    assert all(entry.age_ms >= REVOKE_MS for entry in scene.entries)
+    event = observability.Event.STORE_ANSWER_REFUSED
+    assert any(event in dict(entry.log.events) for entry in scene.entries)
+    scene.store.changed_headers = None
+    await asyncio.sleep(APPLY_S)
+    assert {entry.version for entry in scene.entries} == {8}
+    await asyncio.sleep(1)
+    assert all(entry.age_ms < SERVED_AGE_MS for entry in scene.entries)
+
+
+@hosts.virtual
+async def test_store_that_names_no_era_is_used():
+    scene = store_entries.StoreScene()
+    scene.store.changed_headers = {}
+    scene.store.put('op/config', configuration_of(7))
+    await scene.start()
+    assert {entry.version for entry in scene.entries} == {7}
+    assert all(entry.age_ms < SERVED_AGE_MS for entry in scene.entries)
+
+
+@hosts.virtual
+async def test_pages_of_two_eras_are_never_one_list():
+    scene = await started_scene(entries=1)
+    copied = scene.store.copy()
+    scene.store.put('servers/i-9', server_of(9, seq=1))
+    await asyncio.sleep(1)
+    scene.store.page_size = 2
+    scene.store.go_down()
+    await asyncio.sleep(1)
+    scene.store.is_down = False
+
+    def restore_at_the_second_page():
+        scene.store.on_page = lambda: None
+        scene.store.on_page = restore
+
+    def restore():
+        scene.store.on_page = lambda: None
+        scene.store.restore(copied)
+
+    scene.store.on_page = restore_at_the_second_page
+    await asyncio.sleep(REWRITTEN_S + 1.5)
+    assert scene.entries[0].usable() == {'i-0', 'i-1', 'i-2'}
