An answer on a kept connection is believed only for its own request

Callers could be told 'not run' for a request that an engine was running, or get the body of an earlier answer, where a faulty engine wrote an answer once more on a kept connection. Requests that must not be repeated have connections of their own, so that they were not affected; look-ups, resumable streams, reports and orders to engines were.

Cause: the client library keeps what arrives on an idle connection and hands it to the next request; the request id does not tell a copy from the answer if both belong to attempts of one request, and answers without an id were accepted.

A stand-in in test_users_platform takes one more argument, as the method that it replaces.

--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -224,6 +224,12 @@
         'A target ended before it had begun to answer some requests, whose '
         'prompts are recorded.',
     )
+    CONNECTION_NOT_REUSED = (
+        514,
+        'connection-not-reused',
+        'Bytes arrived on an idle connection; it was closed, because they '
+        'belong to no later request.',
+    )
     TARGET_LIMITED = (
         513,
         'target-limited',
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -698,7 +698,7 @@
     calls = engine_calls.EngineCalls()
     answer = ClosableAnswer()
 
-    async def request(_call):
+    async def request(_call, _used):
         await asyncio.sleep(0.01)
         asyncio.get_running_loop().call_soon(task.cancel)
         return answer
