A target that resumes a stream has to continue it with the next event

Callers found the text of an error, or the head of one, in the middle of their stream, and pieces of two runs joined, where the target that was to resume it answered with events that do not follow the last one.

Cause: events without a number were passed on, and events up to the last one were dropped as repeated, so that a target that ran the request anew was joined to the first. Answers with an error status, refusals and successes that are no stream were held back already.

Change: the first event that is no comment has to be the next one, else the answer counts as broken off; without a further target the caller's channel closes without an end mark.

test_duplicate_events_are_forwarded_once resumed with a run from event one and expected a whole stream: two runs joined, which the fault is. It now repeats events within one run and compares the whole body.

--- a/src/carobslip/forwarding/_events.py
+++ b/src/carobslip/forwarding/_events.py
@@ -15,6 +15,12 @@
     raw: bytes
     number: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has no field, only comments."""
+        lines = self.raw.splitlines()
+        return all(not line or line.startswith(b':') for line in lines)
+
 
 class EventSplitter:
     r"""Buffers bytes until events are complete.
--- a/src/carobslip/forwarding/_relay.py
+++ b/src/carobslip/forwarding/_relay.py
@@ -65,14 +65,16 @@
         """Forwards a stream event by event.
 
         Raises:
-            guard.TargetLost: The stream broke off; complete events were
-                forwarded.
+            guard.TargetLost: The stream broke off, or does not continue the
+                one that has begun; complete events were forwarded.
         """
         splitter = _events.EventSplitter()
+        resumed_after = pending.last_event
         async for content in answer.chunks():
             self._note_received(call, content)
             complete = splitter.feed(content)
             call.progress.events += len(complete)
+            resumed_after = _check_continuation(complete, resumed_after)
             fresh = [
                 event.raw for event in complete if _is_next(pending, event)
             ]
@@ -113,6 +115,34 @@
             await pending.caller.write(content)
 
 
+def _check_continuation(
+    complete: list[_events.StreamEvent], resumed_after: int | None
+) -> int | None:
+    """Checks the first event of a target that resumes a stream.
+
+    Args:
+        complete: Events of the target.
+        resumed_after: The event that the first of them has to follow; None if
+            that has been checked, or need not be.
+
+    Returns:
+        What the first event of a later call has to follow.
+
+    Raises:
+        guard.TargetLost: It does not follow: the target reports an error as a
+            stream, or runs the request anew.
+    """
+    fields = (event for event in complete if not event.is_comment)
+    first = next(fields, None)
+    if resumed_after is None or first is None:
+        return resumed_after
+    if first.number != resumed_after + 1:
+        raise guard.TargetLost(
+            f'resumed after {resumed_after} with event {first.number}'
+        )
+    return None
+
+
 def _is_next(
     pending: _pending_request.PendingRequest, event: _events.StreamEvent
 ) -> bool:
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -65,9 +65,14 @@
             raise guard.TargetLost('reset')
 
 
+def numbered(*numbers):
+    """Returns the bytes of numbered events."""
+    return b''.join(b'id: %d\ndata: x\n\n' % number for number in numbers)
+
+
 def events(*numbers):
     """Returns an answer that streams numbered events."""
-    parts = tuple(b'id: %d\ndata: x\n\n' % number for number in numbers)
+    parts = tuple(numbered(number) for number in numbers)
     return FakeAnswer(parts=parts, is_event_stream=True)
 
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -265,10 +265,10 @@
 
 def test_duplicate_events_are_forwarded_once():
     async def scenario():
-        script = [fakes.broken_events(1, 2), fakes.events(1, 2, 3)]
+        script = [fakes.broken_events(1, 2), fakes.events(3, 3, 4, 3)]
         entry = fakes.Entry(script, held=fakes.table())
         _outcome, caller = await entry.send('/note/x')
-        assert caller.body.count(b'id: 2') == 1
+        assert caller.body == fakes.numbered(1, 2, 3, 4)
         assert caller.is_whole
 
     virtual.run(scenario)
