A text that is published again is passed on with its new order

A process that held an evacuation kept it, and asked its peers for the document again and again, after the zone had been evacuated, released and evacuated once more.

Cause: packed documents are cached by their text, and a cached one kept the order of its first publication, which is below the one that peers hold.

Change: the package of the held document gets its order. A platform that answers at once that nothing has changed is not asked again without a pause either.

Evidence: test_document_that_is_published_again_is_fetched_again failed before. Found by reading; no run showed it.

--- a/src/carobslip/configuration/_holder.py
+++ b/src/carobslip/configuration/_holder.py
@@ -111,20 +111,23 @@
             era: The platform's era in which it was published.
             revision: The platform's revision of it, within that era.
         """
-        published = msgspec.structs.replace(
-            self.order, era=era, revision=revision
-        )
         if text == self.text:
-            self.note_order(published)
+            self.note_order(
+                msgspec.structs.replace(self.order, era=era, revision=revision),
+            )
             return Adoption.SAME
-        digest = hashing.digest_names(text)
-        refused = msgspec.structs.replace(published, digest=digest)
-        if self._refused is not None and self._refused[0] == refused:
+        # Its version is known after parsing it.
+        published = _order.DocumentOrder(
+            era=era,
+            revision=revision,
+            digest=hashing.digest_names(text),
+        )
+        if self._refused is not None and self._refused[0] == published:
             # Parsing a large document again for each answer takes too long.
             return self._refused[1]
-        adoption = self._offer_other(text, source, refused)
+        adoption = self._offer_other(text, source, published)
         is_adopted = adoption is Adoption.ADOPTED
-        self._refused = None if is_adopted else (refused, adoption)
+        self._refused = None if is_adopted else (published, adoption)
         return adoption
 
     def _offer_other(
--- a/src/carobslip/control/_package_cache.py
+++ b/src/carobslip/control/_package_cache.py
@@ -3,6 +3,8 @@
 import collections
 from typing import Final
 
+import msgspec
+
 from carobslip import configuration
 from carobslip.control import _messages
 
@@ -38,7 +40,9 @@
         if not self._holder.text:
             return _messages.ConfigurationPart(version=0, digest=0)
         document_id = request.version, request.digest
-        package = self._packages.get(document_id) or self._pack_held()
+        package = self._pack_held()
+        if package.order.document_id != document_id:
+            package = self._packages.get(document_id, package)
         is_asked_for = package.order.document_id == document_id
         offset = request.offset if is_asked_for else 0
         return _part_of(package, offset)
@@ -48,9 +52,12 @@
         package = self._packages.get(order.document_id)
         if package is None:
             package = configuration.pack(self._holder.text, order)
-            self._packages[order.document_id] = package
-            if len(self._packages) > _PACKAGES_MAX:
-                self._packages.popitem(last=False)
+        elif package.order != order:
+            # The same text was published again.
+            package = msgspec.structs.replace(package, order=order)
+        self._packages[order.document_id] = package
+        if len(self._packages) > _PACKAGES_MAX:
+            self._packages.popitem(last=False)
         return package
 
 
--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -272,8 +272,7 @@
             return False
         if published is _platform_port.NoDocument.UNCHANGED:
             self.holder.confirm(asked_ms)
-            return True
-        if self._offer(published, asked_ms):
+        elif self._offer(published, asked_ms):
             return True
         # A service that answers without waiting has nothing new to tell;
         # asking it again without a pause would flood it.
--- a/tests/test_fetcher.py
+++ b/tests/test_fetcher.py
@@ -21,8 +21,9 @@
         self.part = None
         self.asked = 0
 
-    def publish(self, version):
-        self.holder.offer(text_of(version), source='test')
+    def publish(self, version, *, revision=0, **more):
+        text = text_of(version, **more)
+        self.holder.offer(text, source='test', revision=revision)
 
 
 def text_of(version, **more):
@@ -87,6 +88,26 @@
     virtual.run(scenario)
 
 
+def test_document_that_is_published_again_is_fetched_again():
+    out = (
+        configuration.Withdrawal(
+            reason='taken out by a test', data_centre='leeds'
+        ),
+    )
+
+    async def scenario():
+        scene = Scene()
+        peer = scene.add('one', 2)
+        for revision, withdrawn in enumerate(((), out, (), out), start=1):
+            peer.publish(2, revision=revision, out=withdrawn)
+            scene.note('one')
+            await asyncio.sleep(0.1)
+            assert scene.holder.order == peer.holder.order
+            assert scene.holder.configuration.out == withdrawn
+
+    virtual.run(scenario)
+
+
 def test_peer_that_sends_parts_out_of_order_is_abandoned():
     async def scenario():
         scene = Scene()
