The age of a document is sent in whole milliseconds

Control messages had grown by the era and the revision of the document; a whole number takes up to six bytes less than the fraction. The age is rounded up, so that no document counts as younger than it is.

--- a/src/carobslip/control/_node.py
+++ b/src/carobslip/control/_node.py
@@ -1,5 +1,6 @@
 """Sends and receives the control messages of one process."""
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, TypeVar
 
@@ -171,7 +172,8 @@
                 origin=self.origin,
                 configuration_version=held.version,
                 configuration_digest=held.digest,
-                configuration_age_ms=self.holder.age_ms(),
+                # Rounded up; whole numbers are shorter in messages.
+                configuration_age_ms=math.ceil(self.holder.age_ms()),
                 message=message,
                 crashes_digest=self._crashes_digest(),
                 configuration_era=held.era,
