--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -375,6 +375,7 @@
             version=adopted.version,
             era=self.holder.order.era,
             revision=self.holder.order.revision,
+            out=sorted(self.holder.withdrawn_data_centres()),
         )
         self.on_configuration()
         if self._tasks:
