--- a/tests/fakes/store_entries.py
+++ b/tests/fakes/store_entries.py
@@ -67,11 +67,9 @@
     def age_ms(self):
         return self.member.holder.age_ms()
 
-    def usable(self, withdrawn=()):
+    def usable(self):
         service = identifiers.ServiceId('s1')
-        return {
-            record.target for record in self.registry.usable(service, withdrawn)
-        }
+        return {record.target for record in self.registry.usable(service, ())}
 
     async def start(self):
         self.host.spawn(self._follow())
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -39,16 +39,22 @@
     }
 
 
-async def started_scene(*, versions=(7,), entries=3, targets=3):
+async def started_scene(*, entries=3):
+    """Returns entries with three targets and version 7 in force."""
     scene = store_entries.StoreScene()
-    for number in range(targets):
+    for number in range(3):
         scene.store.put(f'servers/i-{number}', server_of(number))
-    for version in versions:
-        scene.store.put('op/config', configuration_of(version))
+    scene.store.put('op/config', configuration_of(7))
     await scene.start(entries)
     return scene
 
 
+async def restore_after_outage(scene, copied):
+    scene.store.go_down()
+    await asyncio.sleep(AWAY_S)
+    scene.store.restore(copied)
+
+
 async def lose_versions(scene, versions):
     """Writes versions that the next restore loses; the store is down then."""
     copied = scene.store.copy()
@@ -108,9 +114,7 @@
         scene.store.calls_of(entry.name) - count
         for entry, count in zip(scene.entries, before, strict=True)
     ]
-    scene.store.go_down()
-    await asyncio.sleep(AWAY_S)
-    scene.store.restore(copied)
+    await restore_after_outage(scene, copied)
     scene.store.calls.clear()
     await asyncio.sleep(10)
     after = [scene.store.calls_of(entry.name) for entry in scene.entries]
@@ -188,9 +192,7 @@
         await asyncio.sleep(1)
     scene.store.delete('servers/i-0')
     await asyncio.sleep(2)
-    scene.store.go_down()
-    await asyncio.sleep(AWAY_S)
-    scene.store.restore(copied)
+    await restore_after_outage(scene, copied)
     for _ in range(30):
         await asyncio.sleep(0.1)
         assert all('i-0' not in entry.usable() for entry in scene.entries)
@@ -222,9 +224,7 @@
     copied = scene.store.copy()
     scene.store.delete('servers/i-0')
     await asyncio.sleep(3)
-    scene.store.go_down()
-    await asyncio.sleep(AWAY_S)
-    scene.store.restore(copied)
+    await restore_after_outage(scene, copied)
     await asyncio.sleep(1)
     scene.store.put('servers/i-0', server_of(0, **NEW_REPORTS[name]))
     await asyncio.sleep(1)
@@ -237,9 +237,7 @@
     copied = scene.store.copy()
     scene.store.put('servers/new', server_of(9, seq=1))
     await asyncio.sleep(1)
-    scene.store.go_down()
-    await asyncio.sleep(AWAY_S)
-    scene.store.restore(copied)
+    await restore_after_outage(scene, copied)
     await asyncio.sleep(REWRITTEN_S + 1)
     assert all('new' not in entry.usable() for entry in scene.entries)
 
@@ -249,9 +247,7 @@
     copied = scene.store.copy()
     change()
     await asyncio.sleep(APPLY_S)
-    scene.store.go_down()
-    await asyncio.sleep(AWAY_S)
-    scene.store.restore(copied)
+    await restore_after_outage(scene, copied)
 
 
 def withdrawn_at(scene):
@@ -341,9 +337,7 @@
     await asyncio.sleep(APPLY_S)
     away = scene.entries[0]
     scene.cut_off(away)
-    scene.store.go_down()
-    await asyncio.sleep(AWAY_S)
-    scene.store.restore(copied)
+    await restore_after_outage(scene, copied)
     scene.store.put('op/config', configuration_of(21))
     await asyncio.sleep(APPLY_S)
     assert away.version == 19
@@ -367,9 +361,7 @@
 async def test_document_is_confirmed_once_the_restored_store_is_settled():
     scene = await started_scene()
     copied = scene.store.copy()
-    scene.store.go_down()
-    await asyncio.sleep(AWAY_S)
-    scene.store.restore(copied)
+    await restore_after_outage(scene, copied)
     await asyncio.sleep(REWRITTEN_S)
     assert all(entry.age_ms >= 1000 * REWRITTEN_S for entry in scene.entries)
     await asyncio.sleep(1.5)
