A departed target's last report is logged as it was

find_last_report returned the order after the last report, so that one comparison served known and departed targets; the log then named a report that never was. The registry now compares both cases itself; which reports are ignored is unchanged.

--- a/src/carobslip/targets/_departures.py
+++ b/src/carobslip/targets/_departures.py
@@ -49,20 +49,19 @@
         self._restored_ms = self._clock.now_ms()
 
     def find_last_report(
-        self, record: _records.TargetRecord
+        self, target: identifiers.TargetId
     ) -> tuple[int, int] | None:
-        """Returns the report order below which a listed target has left.
+        """Returns the order of the last report of a target that has left.
 
         Returns:
-            None if the target may have joined again.
+            None unless the list may name the target because of a restore.
         """
-        known = self._departures.get(record.target)
+        known = self._departures.get(target)
         if known is None or self._restored_ms is None:
             return None
         if known.left_ms > self._restored_ms or self._is_over(known):
             return None
-        started_ms, sequence = known.record.report_order
-        return started_ms, sequence + 1
+        return known.record.report_order
 
     def _is_over(self, known: _Departure) -> bool:
         return self._clock.now_ms() - known.left_ms > _COPY_AGE_MAX_MS
--- a/src/carobslip/targets/_registry.py
+++ b/src/carobslip/targets/_registry.py
@@ -170,10 +170,12 @@
     def _store(self, record: _records.TargetRecord, revision: int) -> None:
         known = self._records.get(record.target)
         if known is None:
-            held = self._departures.find_last_report(record)
+            held = self._departures.find_last_report(record.target)
+            is_outdated = held is not None and record.report_order <= held
         else:
             held = known.report_order
-        if held is not None and record.report_order < held:
+            is_outdated = record.report_order < held
+        if is_outdated:
             self._log.write(
                 observability.Event.TARGET_REPORT_IGNORED,
                 target=record.target,
