Show that one endless stream makes an entry hang

Cause: empty lines without end are split into events and passed on one by one, without a bound and without giving up the event loop between them.

--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -10,6 +10,9 @@
 _BEAT_S = 1.2
 _WORK_S = 0.0225
 _SLOTS = 6
+#: Events of a stream and the pause before each.
+_EVENTS = 24
+_EVENT_S = 0.02
 
 
 class Run:
@@ -36,6 +39,7 @@
         address: Where it takes requests.
         platform: The store.
         runs: Receives what it runs.
+        is_streaming: It answers with a stream of events.
     """
 
     def __init__(
@@ -47,6 +51,7 @@
         address: str,
         platform: store.Store,
         runs: list[Run],
+        is_streaming: bool = False,
     ) -> None:
         self.name = name
         self.address = address
@@ -54,13 +59,18 @@
         self.work_s = _WORK_S
         #: Tells whether the answer of a request is lost after its run.
         self.loses: Callable[[http.Request], bool] = lambda _request: False
-        #: Called once a run has begun; may stop the engine.
-        self.on_run: Callable[[Run], None] = lambda _run: None
+        #: Chooses requests for which it sends bytes without end; what it sends
+        #: first (``REQUEST`` stands for the id), then again and again.
+        self.floods: Callable[[http.Request], bool] = lambda _request: False
+        self.flood_head = b''
+        self.flood = b''
+        self.flood_bytes_per_s = 0.0
         self.running = 0
         self._service = service
         self._zone = zone
         self._platform = platform
         self._runs = runs
+        self._is_streaming = is_streaming
         self._seq = 0
         self._born = int(time.time() * 1000)
         self._beats: asyncio.Task[None] | None = None
@@ -133,11 +143,14 @@
             headers['X-Not-Executed'] = '1'
             await http.write_answer(writer, status, headers)
             return True
-        run = Run(self.name, request, time.monotonic())
-        self._runs.append(run)
+        self._runs.append(Run(self.name, request, time.monotonic()))
         self.running += 1
         try:
-            self.on_run(run)
+            if self.floods(request):
+                await self._send_flood(writer, request_id)
+                return False
+            if self._is_streaming:
+                return await self._stream(writer, headers)
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
@@ -149,3 +162,36 @@
         headers['X-Server-Load'] = f'{self.running},0,{_SLOTS}'
         await http.write_answer(writer, 200, headers, body)
         return True
+
+    async def _stream(
+        self, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> bool:
+        headers |= {
+            'X-Response-Seal': f'{_EVENTS:x}.{headers["X-Request-Id"]}',
+            'Content-Type': 'text/event-stream',
+            'Transfer-Encoding': 'chunked',
+        }
+        writer.write(http.head_of(200, headers))
+        for number in range(1, _EVENTS + 1):
+            await asyncio.sleep(_EVENT_S)
+            event = f'id: {number}\ndata: {self.name}\n\n'.encode()
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            await writer.drain()
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
+        return True
+
+    async def _send_flood(
+        self, writer: asyncio.StreamWriter, request_id: str
+    ) -> None:
+        """Sends bytes until the caller closes the connection."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        sent_bytes = 0
+        writer.write(self.flood_head.replace(b'REQUEST', request_id.encode()))
+        while True:
+            writer.write(self.flood)
+            await writer.drain()
+            sent_bytes += len(self.flood)
+            due_s = began_s + sent_bytes / self.flood_bytes_per_s
+            await asyncio.sleep(max(0.0, due_s - loop.time()))
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -43,6 +43,13 @@
     writer.transport.abort()
 
 
+def head_of(status: int, headers: dict[str, str]) -> bytes:
+    """Returns the head of an answer."""
+    lines = [f'HTTP/1.1 {status} Status']
+    lines += [f'{name}: {content}' for name, content in headers.items()]
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
 async def write_answer(
     writer: asyncio.StreamWriter,
     status: int,
@@ -50,10 +57,8 @@
     body: bytes = b'',
 ) -> None:
     """Writes a complete answer with a length."""
-    lines = [f'HTTP/1.1 {status} Status']
-    lines += [f'{name}: {content}' for name, content in headers.items()]
-    lines += [f'Content-Length: {len(body)}', '', '']
-    writer.write('\r\n'.join(lines).encode() + body)
+    framed = headers | {'Content-Length': str(len(body))}
+    writer.write(head_of(status, framed) + body)
     await writer.drain()
 
 
