--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,17 +1,23 @@
-"""An engine sends interim responses without end instead of an answer."""
+"""One stream of an engine goes on with empty lines without end."""
 
 import asyncio
 import pathlib
 
 from review.standins import bookings, deployment, http, unanswered
 
-_TRAFFIC_S = 16.0
+_TRAFFIC_S = 20.0
 _INTERVAL_S = 0.04
+#: One request of so many asks for a stream.
+_STREAM_ONE_OF = 4
 _FLOOD_AT_S = 5.0
-_INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
-_INTERIMS_AT_ONCE = 500
-#: 100 Mbit/s; the link of an entry's machine takes 1,000.
-_FLOOD_BYTES_PER_S = 12.5e6
+_HEAD = {
+    'X-Request-Id': 'REQUEST',
+    'X-Response-Seal': '18.REQUEST',
+    'Content-Type': 'text/event-stream',
+}
+_EMPTY_LINES = b'\n' * 16_384
+#: 10 Mbit/s, the link of a ``side`` machine.
+_FLOOD_BYTES_PER_S = 1.25e6
 
 
 async def play(record: deployment.Record, *, has_trouble: bool) -> bool:
@@ -31,7 +37,10 @@
         number = 0
         while loop.time() < until_s:
             entry = site.fleet.entries[number % len(site.fleet.entries)]
-            site.send_later(entry)
+            if number % _STREAM_ONE_OF:
+                site.send_later(entry)
+            else:
+                site.ask_for_notes_later(entry)
             number += 1
             await asyncio.sleep(_INTERVAL_S)
     finally:
@@ -41,10 +50,10 @@
 
 
 def _make_faulty(site: bookings.Bookings) -> None:
-    """Makes one engine send one answer without end."""
+    """Makes one engine send one stream without end."""
     loop = asyncio.get_running_loop()
     due_s = loop.time() + _FLOOD_AT_S
-    faulty = site.engines[0]
+    faulty = site.drafting[0]
     is_done = False
 
     def floods(request: http.Request) -> bool:
@@ -57,7 +66,8 @@
         return True
 
     faulty.floods = floods
-    faulty.flood = _INTERIM * _INTERIMS_AT_ONCE
+    faulty.flood_head = http.head_of(200, _HEAD)
+    faulty.flood = _EMPTY_LINES
     faulty.flood_bytes_per_s = _FLOOD_BYTES_PER_S
 
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -91,10 +91,21 @@
 
 
 class Entry:
-    """One entry process and its settings file."""
+    """A machine with one process of the project: an entry, or a guard.
 
-    def __init__(self, name: str, zone: str, host: str, port: int) -> None:
+    Args:
+        name: Name of the machine.
+        zone: Its zone.
+        host: Its address.
+        port: The first of its ports.
+        service: Service of the engine beside a guard; empty for an entry.
+    """
+
+    def __init__(
+        self, name: str, zone: str, host: str, port: int, service: str = ''
+    ) -> None:
         self.name = name
+        self.service = service
         self.zone = zone
         self.host = host
         self.port = port
@@ -110,6 +121,11 @@
         """Where callers connect."""
         return self.address(_CALLERS)
 
+    @property
+    def engine(self) -> str:
+        """Where the engine beside a guard takes calls."""
+        return self.address(0)
+
     @property
     def control(self) -> str:
         """Where other entries connect."""
@@ -121,9 +137,13 @@
 
     Args:
         entries: Number of entries.
+        guards: Number of guards.
+        service: Service of the engines beside the guards.
     """
 
-    def __init__(self, entries: int) -> None:
+    def __init__(
+        self, entries: int, *, guards: int = 0, service: str = ''
+    ) -> None:
         self.network = Network()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='carobslip-review-'))
         self.store_host = self.network.new_machine()
@@ -137,8 +157,21 @@
             )
             for number in range(entries)
         ]
+        self.guards = [
+            Entry(
+                f'side-{ZONES[number % 3]}-{number}',
+                ZONES[number % 3],
+                self.network.new_machine(),
+                self.network.port,
+                service,
+            )
+            for number in range(guards)
+        ]
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
-        self._command = deploy['roles']['entry']['run'].split()
+        self._commands = {
+            role: deploy['roles'][role]['run'].split()
+            for role in ('entry', 'guard')
+        }
 
     def start(self, entry: Entry, *, first: bool = False) -> None:
         """Starts the process of an entry."""
@@ -153,7 +186,7 @@
         environment['PYTHONPATH'] = str(ROOT / 'target/deps')
         environment['CAROBSLIP_NODE_FILE'] = str(path)
         entry.process = subprocess.Popen(
-            self._command,
+            self._commands['guard' if entry.service else 'entry'],
             cwd=ROOT,
             env=environment,
             stdout=log,
@@ -162,8 +195,8 @@
         log.close()
 
     async def start_all(self) -> None:
-        """Starts all entries and waits until they are ready."""
-        for entry in self.entries:
+        """Starts all processes and waits until the entries are ready."""
+        for entry in [*self.entries, *self.guards]:
             self.start(entry, first=True)
         for entry in self.entries:
             await self.wait_until_ready(entry)
@@ -195,34 +228,47 @@
 
     def stop(self) -> None:
         """Ends all processes."""
-        for entry in self.entries:
+        machines = [*self.entries, *self.guards]
+        for entry in machines:
             if entry.process is not None and entry.process.poll() is None:
                 entry.process.kill()
-        for entry in self.entries:
+        for entry in machines:
             if entry.process is not None:
                 entry.process.wait()
 
     def _settings(self, entry: Entry, *, first: bool) -> dict[str, Any]:
-        return {
-            'node': entry.name,
+        role: dict[str, Any] = {
             'role': 'entry',
             'machine_class': 'front',
             'serves': ['front', 'directory', 'control'],
-            'ip': entry.host,
-            'zone': entry.zone,
-            'region': 'north',
-            'zones': dict.fromkeys(ZONES, 'north'),
             'listen': {
                 'front': entry.callers,
                 'ready': entry.address(_READY),
                 'control': entry.control,
                 'directory': entry.address(_DIRECTORY),
             },
+            'limits': {'memory_mb': 300, 'max_fds': 4100},
+        }
+        if entry.service:
+            role = {
+                'role': 'guard',
+                'machine_class': 'side',
+                'serves': ['side'],
+                'listen': {},
+                'limits': {'memory_mb': 168, 'max_fds': 1124},
+                'app': entry.engine,
+                'service': entry.service,
+            }
+        return role | {
+            'node': entry.name,
+            'ip': entry.host,
+            'zone': entry.zone,
+            'region': 'north',
+            'zones': dict.fromkeys(ZONES, 'north'),
             'port_range': [entry.port + 10, entry.port + 19],
             'seed_nodes': [one.control for one in self.entries[:3]],
             'first_start': first,
             'in_tolerance': False,
-            'limits': {'memory_mb': 300, 'max_fds': 4100},
             'data_dir': None,
             'discovery': 'platform',
             'entry_point': 'directory',
