Show that a cut surplus answer gives a failure the status of a success

Cause: on a kept connection only the request id is compared; bytes of an earlier answer in front of it, its status line among them, are read as part of the same head. Case: review/3, one engine sends the beginning of an answer again, late, and then fails the next request on that connection.

--- a/review/standins/bookings.py
+++ b/review/standins/bookings.py
@@ -101,6 +101,7 @@
         entries: Number of entries.
         timeout_ms: Timeout of the route.
         patience_ms: Time limit of the callers.
+        drafting: Number of drafting engines.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
         entries: int,
         timeout_ms: float = 600,
         patience_ms: int = PATIENCE_MS,
+        drafting: int = 3,
     ) -> None:
         self.record = record
         self._timeout_ms = timeout_ms
@@ -119,7 +121,7 @@
         self.runs: list[engine.Run] = []
         self.sent: list[Sent] = []
         self.engines = [self.new_engine(number) for number in range(3)]
-        self.drafting = [self.new_engine(n, DRAFTING) for n in range(3)]
+        self.drafting = [self.new_engine(n, DRAFTING) for n in range(drafting)]
         self._requests = 0
         self._tasks: set[asyncio.Task[Sent]] = set()
 
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -65,6 +65,15 @@
         self.flood_head = b''
         self.flood = b''
         self.flood_bytes_per_s = 0.0
+        #: Chooses requests that fail with 500.
+        self.fails: Callable[[http.Request], bool] = lambda _request: False
+        #: Chooses answers after which surplus bytes follow on their connection.
+        self.has_surplus: Callable[[], bool] = lambda: False
+        self.surplus = b''
+        #: Requests that were answered with success, or with a failure.
+        self.succeeded: set[str] = set()
+        self.failed: set[str] = set()
+        self._surplus_due: set[int] = set()
         self.running = 0
         self._service = service
         self._zone = zone
@@ -149,6 +158,8 @@
             if self.floods(request):
                 await self._send_flood(writer, request_id)
                 return False
+            if self.fails(request):
+                return await self._fail(writer, headers)
             if self._is_streaming:
                 return await self._stream(writer, headers)
             await asyncio.sleep(self.work_s)
@@ -179,6 +190,24 @@
             await writer.drain()
         writer.write(b'0\r\n\r\n')
         await writer.drain()
+        self.succeeded.add(headers['X-Request-Id'])
+        if self.has_surplus():
+            self._surplus_due.add(id(writer))
+        return True
+
+    async def _fail(
+        self, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> bool:
+        """Answers with 500, after the surplus bytes of an earlier answer."""
+        if id(writer) in self._surplus_due:
+            self._surplus_due.discard(id(writer))
+            writer.write(self.surplus)
+            await writer.drain()
+            await asyncio.sleep(_EVENT_S)
+        body = b'an error'
+        self.failed.add(headers['X-Request-Id'])
+        headers |= {'X-Response-Seal': f'8.{headers["X-Request-Id"]}'}
+        await http.write_answer(writer, 500, headers, body)
         return True
 
     async def _send_flood(
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+OK = 200
 _LINGER_RESET = struct.pack('ii', 1, 0)
 
 
