--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -227,7 +228,7 @@
             entry.process.wait()
 
     def stop(self) -> None:
-        """Ends all processes."""
+        """Ends all processes and removes their files."""
         machines = [*self.entries, *self.guards]
         for entry in machines:
             if entry.process is not None and entry.process.poll() is None:
@@ -235,6 +236,7 @@
         for entry in machines:
             if entry.process is not None:
                 entry.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def _settings(self, entry: Entry, *, first: bool) -> dict[str, Any]:
         role: dict[str, Any] = {
