Split a group's maps within a few freezes

Cause: the script froze one guard for 4 s at a time; the fence numbers then rise more slowly than the clock on an idle machine, and the take-over knows the layout. Case: review/1, the guard that gave the order freezes for 2.4 s, at the first order 0.6 s or more after the last freeze.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,16 +8,18 @@
 
 from review.standins import deployment, group_site, ranks
 
-_PLAYED_S = 90.0
+_PLAYED_S = 60.0
 #: Undisturbed switches before the first disturbance, and between two.
 _CALM_S = 8.0
-_PAUSE_S = 3.0
+_PAUSE_S = 0.6
 #: ``node_freeze`` of the machine that gave the last order, one at a time.
-_FROZEN_S = 4.0
+_FROZEN_S = 2.4
 _FREEZE_AFTER_S = 0.03
 #: ``applied_late``: orders without an answer are carried out after 2 s to 12 s.
 _SOON_S = 2.0
 _LATE_S = 11.0
+#: The low part of a map's version is the rank whose guard coordinates.
+_VERSION_STEP = 1024
 #: Largest share of orders without an answer among those in a window.
 _LATE_SHARE = 0.35
 _WINDOW_S = 5.5
@@ -76,7 +78,7 @@
                 return None
             self._late_arm = order
             self._late_arm_due_s = now_s + _SOON_S
-            self._site.group.run(self._freeze())
+            self._site.group.run(self._freeze(order.version % _VERSION_STEP))
             return _SOON_S
         if order.fence <= late_arm.fence:
             # The same coordinator tries again.
@@ -86,11 +88,11 @@
         is_delayed = order.rank in {_LATE_RANK, _SLOW_RANK}
         return _LATE_S if is_disarm and is_delayed and not is_undone else None
 
-    async def _freeze(self) -> None:
-        """Freezes the coordinator, which has just given the order."""
+    async def _freeze(self, rank: int) -> None:
+        """Freezes the machine of a rank, which has just given the order."""
         await asyncio.sleep(_FREEZE_AFTER_S)
         self.freezes += 1
-        guard = self._site.fleet.guards[0]
+        guard = self._site.fleet.guards[rank]
         self._site.fleet.kill(guard, signal.SIGSTOP)
         self._record.write(f'{guard.name} freezes')
         await asyncio.sleep(_FROZEN_S)
