Let three streams without end show the hang of an entry

Cause: as before; one stream keeps the processor of this machine busy, a faster one may have time left. Case: review/5, three of six engines send one endless stream each.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,15 +1,18 @@
-"""One stream of an engine goes on with empty lines without end."""
+"""Single streams of three engines go on with empty lines without end."""
 
 import asyncio
 import pathlib
 
-from review.standins import bookings, deployment, http, unanswered
+from review.standins import bookings, deployment, engine, http, unanswered
 
 _TRAFFIC_S = 20.0
 _INTERVAL_S = 0.04
 #: One request of so many asks for a stream.
 _STREAM_ONE_OF = 4
 _FLOOD_AT_S = 5.0
+#: ``garble``: half of the engines, one answer each.
+_ENGINES = 6
+_FAULTY = 3
 _HEAD = {
     'X-Request-Id': 'REQUEST',
     'X-Response-Seal': '18.REQUEST',
@@ -27,11 +30,12 @@
         entries=2,
         timeout_ms=unanswered.TIMEOUT_S * 1000,
         patience_ms=int(unanswered.PATIENCE_S * 1000),
+        drafting=_ENGINES,
     )
     try:
         await site.start()
-        if has_trouble:
-            _make_faulty(site)
+        for faulty in site.drafting[:_FAULTY] if has_trouble else ():
+            _make_faulty(site, faulty)
         loop = asyncio.get_running_loop()
         until_s = loop.time() + _TRAFFIC_S
         number = 0
@@ -49,11 +53,10 @@
     return unanswered.count_unanswered(site, record)
 
 
-def _make_faulty(site: bookings.Bookings) -> None:
-    """Makes one engine send one stream without end."""
+def _make_faulty(site: bookings.Bookings, faulty: engine.Engine) -> None:
+    """Makes an engine send one stream without end."""
     loop = asyncio.get_running_loop()
     due_s = loop.time() + _FLOOD_AT_S
-    faulty = site.drafting[0]
     is_done = False
 
     def floods(request: http.Request) -> bool:
