Keep a hold while an ARM order is outstanding and the layout is unknown

Cause: a coordinator that takes over without knowing the layout in use cannot prepare a neutral map, which is what makes engines refuse a late ARM order. It took a rank whose DISARM got no answer for disarmed as soon as a report showed no armed map, and released the group. Change: without the layout, a rank counts as disarmed only if no map but the one in use is prepared there, or if its engine has answered a DISARM with this coordinator's fencing number, and the platform says that engines check it. Where they do not, the hold stays until the layout is known. The log line of an ended switch tells whether the layout was known.

--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -99,6 +99,8 @@
         ranks: Reaches the guards of all ranks.
         clock: Monotonic and wall time.
         log: Records switches.
+        engines_fence: Whether engines refuse orders with a lower fencing number
+            than one that they have seen.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         ranks: _orders.GroupRanks,
         clock: clocks.Clock,
         log: observability.EventLog,
+        engines_fence: bool = False,
     ) -> None:
         self.group = group
         self.settings: GroupCoordinatorSettings | None = None
@@ -117,6 +120,7 @@
         self._ranks = ranks
         self._clock = clock
         self._log = log
+        self._engines_fence = engines_fence
         self._latest: dict[int, _LatestUpdate] = {}
         self._tokens: list[list[float]] = []
         self._recent_counts: list[float] = []
@@ -349,6 +353,7 @@
             epoch=self._epoch,
             fence=self._fence,
             clock=self._clock,
+            engines_fence=self._engines_fence,
             step_margin=self._step_margin,
             version_min=self._version_used,
         )
@@ -379,6 +384,7 @@
             result=result.value,
             why=switch.why,
             fence=self._fence,
+            knows_layout=layout is not None,
             copies=0 if plan is None else plan.copies,
             lost_orders=switch.lost_orders,
             skew_before=0 if plan is None else round(plan.skew_before, 2),
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -72,6 +72,8 @@
         epoch: The group's epoch.
         fence: Fencing number of this coordinator.
         clock: Monotonic time.
+        engines_fence: Whether engines refuse orders with a lower fencing number
+            than one that they have seen.
         step_margin: Passes between the last one begun and that of a switch.
         version_min: Highest version that this coordinator has used; engines
             may hold a map of that version although no report shows it yet.
@@ -86,6 +88,7 @@
         epoch: int,
         fence: int,
         clock: clocks.Clock,
+        engines_fence: bool = False,
         step_margin: int = STEP_MARGIN_MIN,
         version_min: int = 0,
     ) -> None:
@@ -99,6 +102,7 @@
         self._epoch = epoch
         self._fence = fence
         self._clock = clock
+        self._engines_fence = engines_fence
         self.version = version_min
         self.highest_fence = fence
         self.why = ''
@@ -164,7 +168,7 @@
             await self._release(step, set())
             return await self._wait_for_pass(version)
         self.why = 'not all ranks armed'
-        await self._disarm_permanently(version, present, set())
+        await self._disarm_permanently({version}, present, set())
         await self._release(step, set())
         return SwitchResult.KEPT
 
@@ -190,17 +194,37 @@
             return SwitchResult.ARMED
         if known_absent:
             self.why = f'{sorted(absent)} cannot be disarmed'
-            return SwitchResult.KEPT
-        for version in {one.version for one in armed} or {0}:
-            await self._disarm_permanently(version, present, absent)
+        elif present is None and not self._engines_fence:
+            self.why = 'the layout in use is unknown'
+        else:
+            await self._undo(reports, present, absent)
+        return SwitchResult.KEPT
+
+    async def _undo(
+        self,
+        reports: Sequence[_group_map.RankReport],
+        present: _group_map.Layout | None,
+        absent: set[int],
+    ) -> None:
+        """Disarms all ranks and releases their holds.
+
+        Args:
+            reports: Reports of the ranks that answer.
+            present: Experts that the ranks hold now, if known.
+            absent: Ranks that do not answer, and are not armed.
+        """
+        versions = {one.armed.version for one in reports if one.armed}
+        if present is None:
+            versions = versions or {max(one.prepared or 0 for one in reports)}
+        await self._disarm_permanently(versions, present, absent)
         if absent and not any(one.running for one in reports):
             # The absent rank could be armed until the pass begins, and an
             # idle group begins no pass.
             self.why = f'idle, and {sorted(absent)} cannot be asked'
-            return SwitchResult.KEPT
+            return
+        steps = {one.held for one in reports if one.held is not None}
         await self._release_all(steps, absent)
         self.why = f'undone, held before {sorted(steps)}'
-        return SwitchResult.KEPT
 
     def _armed_map_of_absent(
         self,
@@ -356,7 +380,7 @@
 
     async def _disarm_permanently(
         self,
-        version: int,
+        versions: set[int],
         present: _group_map.Layout | None,
         absent: set[int],
     ) -> None:
@@ -364,7 +388,8 @@
 
         A lost ARM order may still be carried out. Preparing another map that
         equals the one in use needs no copies, and makes the engine refuse that
-        order, as its version is no longer prepared.
+        order, as its version is no longer prepared. If the layout in use is
+        unknown, an answered DISARM makes a fencing engine refuse the order.
         """
         neutral = 0
         if present is not None:
@@ -374,15 +399,21 @@
         done = set(absent)
         for _ in range(_UNDO_ATTEMPTS):
             asked = [rank for rank in range(self._size) if rank not in done]
-            if version:
-                await self._order_all(
+            answers: list[_orders.RankAnswer] = []
+            for version in sorted(versions):
+                answers = await self._order_all(
                     self._order(_orders.OrderKind.DISARM, version=version),
                     done,
                 )
-            answers = await self._order_all(
-                self._neutral_order(neutral, present),
-                done,
-            )
+            if present is not None:
+                answers = await self._order_all(
+                    self._order(
+                        _orders.OrderKind.PREPARE,
+                        version=neutral,
+                        layout=present,
+                    ),
+                    done,
+                )
             done |= {
                 rank
                 for rank, answer in zip(asked, answers, strict=True)
@@ -393,19 +424,6 @@
             await asyncio.sleep(_UNDO_RETRY_S)
         raise _Superseded
 
-    def _neutral_order(
-        self,
-        version: int,
-        present: _group_map.Layout | None,
-    ) -> _orders.RankOrder:
-        if present is None:
-            return self._order(_orders.OrderKind.REPORT)
-        return self._order(
-            _orders.OrderKind.PREPARE,
-            version=version,
-            layout=present,
-        )
-
     async def _release_all(self, steps: set[int], absent: set[int]) -> None:
         for step in steps:
             await self._release(step, absent)
@@ -525,9 +543,17 @@
     return answer.end is _orders.OrderEnd.REFUSED and not is_armed
 
 
-def _is_disarmed(answer: _orders.RankAnswer, version: int) -> bool:
-    """Tells whether a rank can no longer be armed for an earlier map."""
+def _is_disarmed(answer: _orders.RankAnswer, neutral: int) -> bool:
+    """Tells whether a rank can no longer be armed for an earlier map.
+
+    Args:
+        answer: Answer to PREPARE of the neutral map, or to DISARM.
+        neutral: Version of the neutral map; 0 if there is none.
+    """
     report = answer.report
-    if report is None:
+    if report is None or report.armed is not None:
         return False
-    return report.armed is None and version in {0, report.prepared}
+    if neutral:
+        return report.prepared == neutral
+    has_other_map = report.prepared not in {None, report.map_version}
+    return not has_other_map or answer.end is _orders.OrderEnd.DONE
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -54,6 +54,8 @@
         engine_address: Address of the engine beside it.
         service: Service that the engine provides.
         seeds: Control addresses of entries.
+        engines_fence: Whether engines refuse orders with a lower fencing number
+            than one that they have seen.
     """
 
     instance: identifiers.InstanceId
@@ -62,6 +64,7 @@
     engine_address: str
     service: identifiers.ServiceId
     seeds: tuple[str, ...] = ()
+    engines_fence: bool = False
 
 
 class _NoPlatform:
@@ -373,6 +376,7 @@
                 ),
                 clock=self._clock,
                 log=self.log,
+                engines_fence=self._own.engines_fence,
             )
             self._group_coordinator = group_coordinator
         return group_coordinator
--- a/tests/fakes/engine_group.py
+++ b/tests/fakes/engine_group.py
@@ -30,7 +30,7 @@
 
     def apply(self, order):
         """Carries out an order; returns its outcome."""
-        if order.fence < self.fence:
+        if self.group.is_fencing and order.fence < self.fence:
             return expertmap.OrderEnd.FENCED
         self.fence = order.fence
         if order.epoch != self.group.epoch:
@@ -110,6 +110,10 @@
         self.random = random.Random(seed)
         self.epoch = 1
         self.is_busy = True
+        self.is_fencing = True
+        #: Returns after how many seconds an unanswered order is carried out;
+        #: None for an order that is answered.
+        self.lateness = lambda rank, order: None
         self.engines = [FakeEngine(rank, self) for rank in range(size)]
         self.frozen = set()
         self._thawed = asyncio.Event()
@@ -151,9 +155,11 @@
         if engine.rank in self.frozen:
             await asyncio.sleep(0.2)
             return expertmap.OrderEnd.LOST
-        if self.random.random() >= self.lost_share:
-            return engine.apply(order)
-        delay_s = self.random.choice([0, 0.05, 0.3, 2, 5, 12])
+        delay_s = self.lateness(engine.rank, order)
+        if delay_s is None:
+            if self.random.random() >= self.lost_share:
+                return engine.apply(order)
+            delay_s = self.random.choice([0, 0.05, 0.3, 2, 5, 12])
         self.late.append(
             asyncio.ensure_future(self._apply_later(engine, order, delay_s))
         )
--- a/tests/test_group_switch.py
+++ b/tests/test_group_switch.py
@@ -29,9 +29,10 @@
 class SimulatedGroup:
     """A simulated group with one guard per rank."""
 
-    def __init__(self, seed, lost_share=0.0):
+    def __init__(self, seed, lost_share=0.0, *, is_fencing=True):
         self.clock = clocks.LoopClock(epoch_ms=0)
         self.group = engine_group.FakeGroup(SIZE, seed)
+        self.group.is_fencing = is_fencing
         self.group.lost_share = lost_share
         self.dead_guards = set()
         self.guards = [
@@ -61,6 +62,7 @@
             epoch=1,
             fence=fence,
             clock=self.clock,
+            engines_fence=self.group.is_fencing,
             version_min=version_min,
         )
 
@@ -237,6 +239,42 @@
     virtual.run(scenario)
 
 
+@pytest.mark.parametrize('is_fencing', [True, False])
+@pytest.mark.parametrize('are_others_armed', [True, False])
+@pytest.mark.parametrize('late_s', [0.3 + 0.01 * step for step in range(30)])
+def test_late_arm_order_never_splits_a_group_whose_layout_is_unknown(
+    late_s, are_others_armed, is_fencing
+):
+    async def scenario():
+        simulation = SimulatedGroup(seed=1, is_fencing=is_fencing)
+        group = simulation.group
+
+        def lateness(rank, order):
+            is_last = rank == SIZE - 1
+            if order.kind is expertmap.OrderKind.ARM:
+                return late_s if is_last or not are_others_armed else None
+            is_disarm = order.kind is expertmap.OrderKind.DISARM
+            return 12 if is_last and is_disarm else None
+
+        group.lateness = lateness
+        first = asyncio.ensure_future(
+            simulation.switch(own_rank=0, fence=1).switch(_layout(1), PRESENT),
+        )
+        await simulation.check(0.3)
+        first.cancel()
+        second = simulation.switch(own_rank=1, fence=2)
+        undo = asyncio.ensure_future(second.recover(None))
+        await simulation.check(3)
+        group.lateness = lambda rank, order: None
+        await undo
+        await second.recover(PRESENT)
+        await simulation.check(12)
+        assert simulation.is_settled()
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
 class CountedControl(engine_group.FakeControl):
     """Counts the reads during which a group pauses."""
 
