Do not take the undoing of a switch for a switch of that coordinator

Seen: in a simulation, a pass began with two maps after two coordinators in a row had frozen: the first while an ARM order to the second's engine was late, the second while it undid that switch. Cause: PREPARE of the neutral map, with which a switch is undone, made the guards record its sender as coordinator of the switch, and forget whether the first coordinator's rank had been armed. A third coordinator then took the second's rank, which did not answer, for disarmed, and released the group while the first one's ARM was still outstanding there. Change: orders that undo a switch are marked, and leave these records as they are. A rank that does not answer is believed to be unarmed only if it belongs to the coordinator of the switch itself. The field is the last one of an order, so that processes of the version before read the order without it. Evidence: test_undo_by_a_frozen_coordinator_is_not_taken_for_a_switch failed before in 16 of 16 cases (SplitGroup), and passes.

--- a/src/carobslip/expertmap/_orders.py
+++ b/src/carobslip/expertmap/_orders.py
@@ -47,6 +47,7 @@
         step: Pass that the order concerns.
         layout: The complete layout of a map to prepare.
         with_experts: Whether the answer lists the experts that the rank holds.
+        is_undo: Whether the order undoes another coordinator's switch.
     """
 
     kind: OrderKind
@@ -57,6 +58,7 @@
     step: int = 0
     layout: _group_map.Layout = ()
     with_experts: bool = False
+    is_undo: bool = False
 
 
 class RankAnswer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -68,7 +70,7 @@
         experts: Experts in use at this rank by set, if requested.
         fence: Highest fencing number known at the rank.
         coordinator_rank: Rank of the last coordinator that prepared or armed a
-            map.
+            map for a switch of its own.
         coordinator_armed_map: The switch for which this guard armed the
             coordinator's rank, if it did.
         coordinator_in_doubt: Whether this guard tried to arm the coordinator's
--- a/src/carobslip/expertmap/_rank_guard.py
+++ b/src/carobslip/expertmap/_rank_guard.py
@@ -11,7 +11,7 @@
 _COPY_TIMEOUT_FACTOR: Final = 4
 _COPY_POLL_S: Final = 0.02
 #: Orders that identify the coordinator of the switch in progress; orders that
-#: end a switch do not.
+#: end or undo a switch do not.
 _SWITCH_ORDERS: Final = (_orders.OrderKind.PREPARE, _orders.OrderKind.ARM)
 #: Reports that engines send to other machines lag by this time.
 _REPORT_LAG_S: Final = 0.25
@@ -37,11 +37,12 @@
         if order.fence < self._fence:
             return self._fenced()
         self._fence = order.fence
-        if order.kind is _orders.OrderKind.PREPARE:
+        is_switch = order.kind in _SWITCH_ORDERS and not order.is_undo
+        if is_switch and order.kind is _orders.OrderKind.PREPARE:
             # A new switch begins only after the previous one has ended.
             self._coordinator_armed_map = None
             self._coordinator_in_doubt = False
-        if order.kind in _SWITCH_ORDERS:
+        if is_switch:
             self._coordinator_rank = order.coordinator_rank
         answer = await send_order(
             self._engine,
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -411,6 +411,7 @@
                         _orders.OrderKind.PREPARE,
                         version=neutral,
                         layout=present,
+                        is_undo=True,
                     ),
                     done,
                 )
@@ -448,6 +449,7 @@
         version: int = 0,
         step: int = 0,
         layout: _group_map.Layout = (),
+        is_undo: bool = False,
     ) -> _orders.RankOrder:
         return _orders.RankOrder(
             kind=kind,
@@ -457,6 +459,7 @@
             version=version,
             step=step,
             layout=layout,
+            is_undo=is_undo,
         )
 
     async def _order_all(
--- a/tests/test_group_switch.py
+++ b/tests/test_group_switch.py
@@ -275,6 +275,45 @@
     virtual.run(scenario)
 
 
+@pytest.mark.parametrize('late_s', [0.3 + 0.05 * step for step in range(16)])
+def test_undo_by_a_frozen_coordinator_is_not_taken_for_a_switch(late_s):
+    async def scenario():
+        simulation = SimulatedGroup(seed=1)
+        group = simulation.group
+
+        def lateness(rank, order):
+            if rank != 2:
+                return None
+            if order.kind is expertmap.OrderKind.ARM:
+                return late_s
+            return 12 if order.fence == 2 else None
+
+        group.lateness = lateness
+        first = asyncio.ensure_future(
+            simulation.switch(own_rank=0, fence=1).switch(_layout(1), PRESENT),
+        )
+        await simulation.check(0.3)
+        first.cancel()
+        second = asyncio.ensure_future(
+            simulation.switch(own_rank=2, fence=2).recover(PRESENT),
+        )
+        await simulation.check(0.25)
+        group.frozen.add(2)
+        third = simulation.switch(own_rank=3, fence=3)
+        for _try in range(6):
+            await third.recover(PRESENT)
+            await simulation.check(0.1)
+        group.lateness = lambda rank, order: None
+        group.thaw()
+        await second
+        await third.recover(PRESENT)
+        await simulation.check(14)
+        assert simulation.is_settled()
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
 class CountedControl(engine_group.FakeControl):
     """Counts the reads during which a group pauses."""
 
