Read the layout with a raised fencing number after a refusal

Cause: the order that reads the experts of all ranks was built once, before the loop that raises the fencing number; all three attempts used the number that the guards had refused. The number was raised after each attempt, also where none had been refused, so that contending coordinators raised it faster than the clock, and the next one started below it. Change: each attempt uses the number as raised by the one before, and it is raised only above a higher number. Evidence: test_coordinator_below_the_fence_in_use_still_reads_the_layout failed before ("not all ranks told their experts"), and passes.

--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -406,22 +406,21 @@
 
     async def _fetch_layout(self, size: int) -> _group_map.Layout | None:
         """Fetches the experts of every rank; raises the fence if needed."""
-        order = _orders.RankOrder(
-            kind=_orders.OrderKind.REPORT,
-            epoch=self._epoch,
-            fence=self._fence,
-            with_experts=True,
-        )
         told: dict[int, _orders.RankAnswer] = {}
         for _ in range(_LAYOUT_ATTEMPTS):
+            order = _orders.RankOrder(
+                kind=_orders.OrderKind.REPORT,
+                epoch=self._epoch,
+                fence=self._fence,
+                with_experts=True,
+            )
             asked = [rank for rank in range(size) if rank not in told]
             answers = await asyncio.gather(
                 *(self._ranks.order(rank, order) for rank in asked),
             )
-            self._fence = max(
-                self._fence,
-                1 + max(answer.fence for answer in answers),
-            )
+            highest = max(answer.fence for answer in answers)
+            if highest > self._fence:
+                self._fence = highest + 1
             told.update(
                 (rank, answer)
                 for rank, answer in zip(asked, answers, strict=True)
--- a/tests/test_group_coordinator.py
+++ b/tests/test_group_coordinator.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from carobslip import clocks, expertmap
+from carobslip import clocks, expertmap, observability
 from tests.fakes import cluster, engine_group, virtual
 
 SIZE = 8
@@ -136,3 +136,89 @@
         assert named == {f'engine-{rank}' for rank in range(SIZE)}
 
     virtual.run(scenario)
+
+
+class RecordedRanks(engine_group.FakeRanks):
+    """Records the fencing numbers of a coordinator's orders."""
+
+    def __init__(self, group, own_rank, guards):
+        super().__init__(group, own_rank, guards, set())
+        self.fences = []
+
+    async def order(self, rank, order, *, through=None):
+        self.fences.append(order.fence)
+        return await super().order(rank, order, through=through)
+
+
+class ContendingCoordinator:
+    """A coordinator of a group whose other guards may act as one, too."""
+
+    def __init__(self, group, guards, clock, own_rank):
+        self.group = group
+        self.ranks = RecordedRanks(group, own_rank, guards)
+        self.log = cluster.RecordingLog()
+        self.coordinator = expertmap.GroupCoordinator(
+            group=engine_group.GROUP,
+            size=SIZE,
+            own_rank=own_rank,
+            ranks=self.ranks,
+            clock=clock,
+            log=self.log,
+        )
+        self.coordinator.settings = expertmap.GroupCoordinatorSettings(
+            sets=1,
+            experts=SIZE,
+            slots=4,
+            bounds=expertmap.BalanceBounds(
+                places_per_rank=2, copies_per_rank=1
+            ),
+        )
+        self.sequence = 0
+
+    async def run_period(self):
+        self.sequence += 1
+        for rank, engine in enumerate(self.group.engines):
+            self.coordinator.record_update(
+                expertmap.RankUpdate(
+                    report=engine.report_now(),
+                    sequence=self.sequence,
+                    counts=b'',
+                    address=f'engine-{rank}',
+                ),
+            )
+        self.coordinator.probe_and_rebalance()
+        await asyncio.sleep(PERIOD_S)
+
+
+def _guards_of(group):
+    return [
+        expertmap.RankGuard(
+            engine=engine_group.FakeControl(group, rank, is_remote=False)
+        )
+        for rank in range(SIZE)
+    ]
+
+
+def test_coordinator_below_the_fence_in_use_still_reads_the_layout():
+    async def scenario():
+        group = engine_group.FakeGroup(SIZE, seed=1)
+        guards = _guards_of(group)
+        for guard in guards:
+            await guard.order(
+                expertmap.RankOrder(
+                    kind=expertmap.OrderKind.REPORT, epoch=1, fence=1 << 60
+                )
+            )
+        clock = clocks.LoopClock(epoch_ms=cluster.EPOCH_MS)
+        lead = ContendingCoordinator(group, guards, clock, own_rank=0)
+        await lead.run_period()
+        waited = [
+            fields['why']
+            for event, fields in lead.log.events
+            if event is observability.Event.MAP_WAITING
+        ]
+        assert not waited
+        assert max(lead.ranks.fences) > 1 << 60
+        await lead.coordinator.close()
+
+    virtual.run(scenario)
