Give coordinators of one group fencing numbers of their own

Cause: a coordinator began with the second of the clock, and took the highest number seen plus one after a refusal, so that two of them could choose the same. Change: fencing numbers are built like map versions: the low part is the rank. They begin with the millisecond of the clock, so that a guard that starts again does not use those of its last process, and are raised by a second. Evidence: test_contending_coordinators_never_share_a_fencing_number failed before, and passes.

--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -9,6 +9,7 @@
 from carobslip import clocks, identifiers, observability
 from carobslip.expertmap import (
     _balance,
+    _coordinator_numbers,
     _count_codec,
     _group_map,
     _group_times,
@@ -126,7 +127,9 @@
         self._recent_counts: list[float] = []
         self._layout: _group_map.Layout | None = None
         self._epoch = 0
-        self._fence = clock.wall_ms() // 1000
+        self._fence = _coordinator_numbers.first_fence(
+            clock.wall_ms(), own_rank
+        )
         self._unfinished_since_ms: float | None = None
         self._step_margin = _switch.STEP_MARGIN_MIN
         self._work: asyncio.Task[None] | None = None
@@ -374,7 +377,9 @@
         elif result is not _switch.SwitchResult.KEPT:
             self._layout = None
         if result is _switch.SwitchResult.SUPERSEDED:
-            self._fence = max(self._fence, switch.highest_fence) + 1
+            self._fence = _coordinator_numbers.raise_fence(
+                max(self._fence, switch.highest_fence), self._own_rank
+            )
         self._log.write(
             observability.Event.MAP_SWITCHED
             if switched
@@ -420,7 +425,9 @@
             )
             highest = max(answer.fence for answer in answers)
             if highest > self._fence:
-                self._fence = highest + 1
+                self._fence = _coordinator_numbers.raise_fence(
+                    highest, self._own_rank
+                )
             told.update(
                 (rank, answer)
                 for rank, answer in zip(asked, answers, strict=True)
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from carobslip import clocks
-from carobslip.expertmap import _group_map, _orders
+from carobslip.expertmap import _coordinator_numbers, _group_map, _orders
 
 #: Bounds of the number of passes between the last one begun and that of the
 #: switch. Arming takes a few milliseconds and a pass tens of them. Where orders
@@ -37,9 +37,6 @@
 _UNDO_RETRY_S: Final = 0.03
 #: Attempts to undo a switch or to release a hold.
 _UNDO_ATTEMPTS: Final = 200
-#: Versions are a multiple of this plus the coordinator's rank, so two
-#: coordinators never use the same one.
-_VERSION_STEP: Final = 1024
 
 
 class SwitchResult(enum.Enum):
@@ -522,8 +519,9 @@
             (max(one.map_version, one.prepared or 0) for one in reports),
             default=0,
         )
-        base = (max(known, self.version) // _VERSION_STEP + 1) * _VERSION_STEP
-        self.version = base + self._own_rank
+        self.version = _coordinator_numbers.next_version(
+            max(known, self.version), self._own_rank
+        )
         return self.version
 
 
--- a/tests/test_group_coordinator.py
+++ b/tests/test_group_coordinator.py
@@ -222,3 +222,25 @@
         await lead.coordinator.close()
 
     virtual.run(scenario)
+
+
+def test_contending_coordinators_never_share_a_fencing_number():
+    async def scenario():
+        group = engine_group.FakeGroup(SIZE, seed=1)
+        guards = _guards_of(group)
+        clock = clocks.LoopClock(epoch_ms=cluster.EPOCH_MS)
+        leads = [
+            ContendingCoordinator(group, guards, clock, own_rank=rank)
+            for rank in range(3)
+        ]
+        group.engines[4].held = 1
+        for _period in range(30):
+            for lead in leads:
+                await lead.run_period()
+        used = [set(lead.ranks.fences) for lead in leads]
+        assert max(map(len, used)) > 1
+        assert sum(map(len, used)) == len(set().union(*used))
+        for lead in leads:
+            await lead.coordinator.close()
+
+    virtual.run(scenario)
