Send each request once, whatever its method

Cause: the client library's session repeats requests with a method that is idempotent in HTTP after a reset or an early close, on new connections too. What may repeat follows from the route, and only one send was counted. If the engine had crashed meanwhile, the hidden second send ended in a refused connection, which counted as proof that nothing had been sent. The client with which a guard calls its target did the same: its doc text named connections of one use as the protection, which they are not. Change: a middleware of all client sessions turns the errors after which the library repeats into one after which it does not. Errors before a connection stands are left as they are.

--- a/src/carobslip/adapters/guard_client.py
+++ b/src/carobslip/adapters/guard_client.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from carobslip import attempts, entry
-from carobslip.adapters import client_faults
+from carobslip.adapters import client_faults, single_sends
 
 _CONNECT_TIMEOUT_S: Final = 0.5
 
@@ -47,9 +47,6 @@
 class HttpGuardClient:
     """Sends attempts to guards; each is sent once.
 
-    The client library never resends POST requests, not even if the guard has
-    closed a kept-alive connection.
-
     Args:
         session: Pools connections to guards.
     """
@@ -113,4 +110,5 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         trust_env=False,
+        middlewares=(single_sends.send_once,),
     )
--- a/src/carobslip/adapters/target_client.py
+++ b/src/carobslip/adapters/target_client.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from carobslip import guard
-from carobslip.adapters import client_faults
+from carobslip.adapters import client_faults, single_sends
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _PROBE_TIMEOUT_S: Final = 1.0
@@ -34,9 +34,8 @@
 class HttpTarget:
     """Implements the target port.
 
-    Every call has its own connection: the client library resends some calls
-    when a kept-alive connection breaks, and closing the connection tells the
-    target that the call was cancelled.
+    Every call has its own connection: closing it tells the target that the call
+    was cancelled.
 
     Args:
         base_url: Base URL of the target.
@@ -55,6 +54,7 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             trust_env=False,
+            middlewares=(single_sends.send_once,),
         )
 
     @asynccontextmanager
