Refuse content that is nested too deeply, wherever it is decoded

Cause: for such content the decoder raises RecursionError, which is none of its own errors. The readers named the errors that they knew, so that this one passed through them and ended the task that followed the list. The same held for the configuration, answers of the store, reports of engines, the list of the project's own configuration service, attempts and frames. Change: one tuple names what decoders raise for content of others, and all readers use it; the adapters of the platform decode in one function. Such content is refused as any other that is malformed.

--- a/src/carobslip/adapters/caller_server.py
+++ b/src/carobslip/adapters/caller_server.py
@@ -9,6 +9,7 @@
 from carobslip import (
     clocks,
     configuration,
+    decoding,
     directory,
     entry,
     identifiers,
@@ -250,7 +251,7 @@
     ) -> entry.CallerRequest:
         try:
             draft = msgspec.json.decode(body, type=_DraftFields)
-        except msgspec.DecodeError as fault:
+        except decoding.MALFORMED as fault:
             raise caller_headers.refused(
                 _Reason.BAD_REQUEST, str(fault)
             ) from None
--- a/src/carobslip/adapters/platform_client.py
+++ b/src/carobslip/adapters/platform_client.py
@@ -5,7 +5,7 @@
 import aiohttp
 import msgspec
 
-from carobslip import directory, fleet, settings
+from carobslip import decoding, directory, fleet, settings
 
 _RESPONSE_TIMEOUT_S: Final = 2.0
 _DOCUMENT_MAX_BYTES: Final = 1_048_576
@@ -64,7 +64,7 @@
         )
         try:
             return _list_decoder.decode(text or '').instances
-        except msgspec.DecodeError as fault:
+        except decoding.MALFORMED as fault:
             raise fleet.PlatformUnavailable(str(fault)) from None
 
     async def _get(
--- a/src/carobslip/attempts/_attempt.py
+++ b/src/carobslip/attempts/_attempt.py
@@ -1,12 +1,11 @@
 """The attempt metadata that an entry sends to a guard."""
 
 import base64
-import binascii
 from typing import Annotated, Final
 
 import msgspec
 
-from carobslip import identifiers
+from carobslip import decoding, identifiers
 
 #: Header that carries the attempt; the body is the caller's, unchanged.
 ATTEMPT_HEADER: Final = 'Carobslip-Attempt'
@@ -92,5 +91,5 @@
     """
     try:
         return _decoder.decode(base64.urlsafe_b64decode(header))
-    except (binascii.Error, msgspec.DecodeError, ValueError) as fault:
+    except decoding.MALFORMED as fault:
         raise BadAttempt(str(fault)) from None
--- a/src/carobslip/attempts/_frame_reader.py
+++ b/src/carobslip/attempts/_frame_reader.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from carobslip import identifiers
+from carobslip import decoding, identifiers
 from carobslip.attempts import _frames
 
 _FRAME_MAX_BYTES: Final = 16_777_216
@@ -55,7 +55,7 @@
             frame = _decoder.decode(await self._read_exactly(length))
         except EOFError:
             raise FrameSequenceBroken('the reply ends early') from None
-        except (msgspec.DecodeError, UnicodeError) as fault:
+        except decoding.MALFORMED as fault:
             raise FrameSequenceBroken(str(fault)) from None
         self._check_order(frame)
         return frame
--- a/src/carobslip/configuration/_reader.py
+++ b/src/carobslip/configuration/_reader.py
@@ -9,6 +9,7 @@
 import msgspec
 import pyjson5
 
+from carobslip import decoding
 from carobslip.configuration import _document, _errors, _locator
 
 _PATH_PATTERN: Final = re.compile(r' - at `(?P<path>[^`]*)`$')
@@ -54,7 +55,7 @@
     content = _parse(text, source)
     try:
         return msgspec.convert(content, kind)
-    except msgspec.ValidationError as error:
+    except decoding.MALFORMED as error:
         fault, path = _split_path(str(error))
         raise _errors.InvalidDocument(
             source=source,
@@ -98,7 +99,7 @@
             path='$',
             fault=message,
         ) from None
-    except (UnicodeError, RecursionError) as fault:
+    except decoding.MALFORMED as fault:
         raise _errors.InvalidDocument(
             source=source,
             line=None,
--- a/src/carobslip/control/_codec.py
+++ b/src/carobslip/control/_codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from carobslip import decoding
 from carobslip.control import _messages
 
 PROTOCOL: Final = 4
@@ -34,7 +35,7 @@
         raise UndecodableMessage(f'{len(frame)} bytes are too long')
     try:
         envelope = _decoder.decode(frame)
-    except (msgspec.DecodeError, UnicodeError, RecursionError) as fault:
+    except decoding.MALFORMED as fault:
         raise UndecodableMessage(str(fault)) from None
     if envelope.protocol != PROTOCOL:
         raise UndecodableMessage(f'protocol {envelope.protocol} is not known')
--- a/src/carobslip/expertmap/_layout_codec.py
+++ b/src/carobslip/expertmap/_layout_codec.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from carobslip import hashing
+from carobslip import decoding, hashing
 from carobslip.expertmap import _group_map
 
 #: Bounds the decompressed size.
@@ -160,5 +160,7 @@
     try:
         content = unpacker.decompress(packed, _LAYOUT_MAX_BYTES)
         return msgspec.msgpack.decode(content, type=kind)
-    except (zlib.error, msgspec.DecodeError):
+    except zlib.error:
+        return None
+    except decoding.MALFORMED:
         return None
--- a/tests/standins/users_store.py
+++ b/tests/standins/users_store.py
@@ -10,7 +10,8 @@
 class FakeStore:
     """A key-value store with revisions, read over HTTP and written by tests.
 
-    ``error_status`` is the status of all answers unless it is 0.
+    ``error_status`` is the status of all answers unless it is 0, and
+    ``raw_answer`` the body of all others unless it is None.
     """
 
     def __init__(self):
@@ -19,6 +20,7 @@
         self.history = []
         self.compacted_revision = 0
         self.error_status = 0
+        self.raw_answer = None
         self.page_size = 500
         self.calls = []
         self.bytes_per_s = None
@@ -113,6 +115,8 @@
         )
 
     async def _answer(self, request, content):
+        if self.raw_answer is not None:
+            return web.Response(body=self.raw_answer)
         if self.bytes_per_s is None:
             return web.json_response(content)
         body = json.dumps(content).encode()
