Restart background tasks that fail or end, and show it

Cause: only the tasks of the fleet's member were restarted. Those of entries and guards ran as bare tasks, whose errors nobody reads: the target list, the joining of the fleet, a guard's reports, switches of maps, settings and metrics. A guard whose report could not be decoded took no part any more. Change: one supervisor starts all of them, writes each failure or end, counts it (task_failures) and restarts the task after a second. Work that ends by itself is restarted only after a failure. An entry is not ready while a task has failed within five seconds. A list that is followed again is read whole. Evidence: test_entry_follows_the_target_list_again_after_a_failure timed out on the code before; the cases of the supervisor are new.

--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from carobslip import clocks, identifiers, observability
+from carobslip import clocks, identifiers, observability, tasks
 from carobslip.expertmap import (
     _balance,
     _coordinator_numbers,
@@ -121,6 +121,7 @@
         self._ranks = ranks
         self._clock = clock
         self._log = log
+        self._supervisor = tasks.Supervisor(log=log)
         self._engines_fence = engines_fence
         self._latest: dict[int, _LatestUpdate] = {}
         self._tokens: list[list[float]] = []
@@ -223,7 +224,7 @@
         if report.epoch != self._epoch:
             self._epoch = report.epoch
             self._layout = None
-        self._work = asyncio.ensure_future(
+        self._work = self._supervisor.run_once(
             self._rebalance(settings, report.size)
         )
 
@@ -238,7 +239,7 @@
         if not reports or not self._has_unfinished_switch():
             return
         self._epoch = reports[0].epoch
-        self._work = asyncio.ensure_future(
+        self._work = self._supervisor.run_once(
             self._run_switch(reports[0].size, None, None),
         )
 
@@ -259,7 +260,9 @@
                 latest is not None and latest.received_ms >= oldest_ms
             ):
                 continue
-            self._probes[rank] = asyncio.ensure_future(self._probe_rank(rank))
+            self._probes[rank] = self._supervisor.run_once(
+                self._probe_rank(rank)
+            )
 
     async def _probe_rank(self, rank: int) -> None:
         answer = await self._ranks.order(
--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Coroutine, Sequence
-from typing import Any, Final
+from collections.abc import Callable, Sequence
+from typing import Final
 
 import msgspec
 
@@ -15,6 +15,7 @@
     identifiers,
     membership,
     observability,
+    tasks,
 )
 from carobslip.fleet import _pause_detector, _platform_port, _watchers
 
@@ -23,7 +24,6 @@
 _START_POLL_S: Final = 0.01
 _RETRY_S: Final = 0.5
 _STANDBY_PERIODS: Final = 20
-_RESTART_PAUSE_S: Final = 1.0
 #: Interval at which the bytes of control messages are logged.
 _TRAFFIC_LOG_S: Final = 5.0
 _NEWEST: Final = (
@@ -92,10 +92,11 @@
         self._seeds = seeds
         self._random = generator
         self._times = times or FleetTimes()
-        self._tasks: list[asyncio.Task[None]] = []
-        self._background_tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = tasks.Supervisor(log=log, metrics=metrics)
+        self._has_joined = False
         self._platform_answered = False
         self._not_adopted: tuple[int, int] | None = None
+        self._is_started = False
         self._is_prepared = False
         self.on_configuration: Callable[[], None] = _do_nothing
         self.on_members: Callable[[], None] = _do_nothing
@@ -146,32 +147,32 @@
         """Tells whether this process or the platform announced its stop."""
         return self.table.own.state is control.MemberState.LEAVING
 
+    @property
+    def is_healthy(self) -> bool:
+        """Whether no background task has failed recently."""
+        return self._supervisor.is_healthy
+
     async def join(self) -> None:
         """Adopts the highest reachable configuration, then starts probing.
 
         Waits until a configuration has been found.
         """
         await self.prepare()
-        self._run_forever(self._prober.run)
-        if self._reads_platform:
-            self._run_forever(self._watch_configuration)
-        if self._times.lists_instances:
-            self._run_forever(self._poll_list)
-        self._run_forever(self.pause_detector.run)
-        self._run_forever(self._log_traffic)
+        if not self._has_joined:
+            self._has_joined = True
+            self._start_tasks()
         await self._prober.join()
         await self._prober.push()
 
     async def prepare(self) -> None:
         """Starts answering peers and waits for a configuration."""
-        if self._is_prepared:
-            return
-        self._is_prepared = True
-        await self.node.start()
-        while not await self._gather_start_state():  # noqa: ASYNC110
-            await asyncio.sleep(
-                _START_PAUSE_S
-            )  # The platform sends no event to wait for.
+        if not self._is_started:
+            self._is_started = True
+            await self.node.start()
+        while not self._is_prepared:
+            self._is_prepared = await self._gather_start_state()
+            if not self._is_prepared:
+                await asyncio.sleep(_START_PAUSE_S)
 
     def renew_record(self, record: directory.InstanceRecord) -> None:
         """Gossips a changed record of this process."""
@@ -185,10 +186,7 @@
 
     async def close(self) -> None:
         """Stops all tasks and the control traffic."""
-        running = [*self._tasks, *self._background_tasks]
-        for task in running:
-            task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
+        await self._supervisor.close()
         await self.node.close()
 
     async def refresh(self) -> None:
@@ -205,9 +203,7 @@
             await self._read_list()
         # Stops waiting once the platform answers. Requests to peers continue in
         # the background, and a higher version is adopted when it arrives.
-        refresh = asyncio.ensure_future(self.refresh())
-        self._background_tasks.add(refresh)
-        refresh.add_done_callback(self._background_tasks.discard)
+        refresh = self._supervisor.run_once(self.refresh())
         while not refresh.done() and not self._platform_answered:
             await asyncio.wait([refresh], timeout=_START_POLL_S)
         return self.holder.version > 0
@@ -378,10 +374,8 @@
             out=sorted(self.holder.withdrawn_data_centres()),
         )
         self.on_configuration()
-        if self._tasks:
-            push = asyncio.ensure_future(self._prober.push())
-            self._background_tasks.add(push)
-            push.add_done_callback(self._background_tasks.discard)
+        if self._has_joined:
+            self._supervisor.run_once(self._prober.push())
 
     def _note_member(self, update: control.MemberUpdate) -> None:
         self.log.write(
@@ -395,7 +389,7 @@
     def _note_platform_unavailable(
         self, event: observability.Event, fault: str
     ) -> None:
-        if self._platform_answered or not self._tasks:
+        if self._platform_answered or not self._has_joined:
             self.log.write(event, fault=fault)
         self._platform_answered = False
 
@@ -423,25 +417,15 @@
                 bytes_by_type=self.node.traffic.take_bytes(),
             )
 
-    def _run_forever(
-        self,
-        work: Callable[[], Coroutine[Any, Any, None]],
-    ) -> None:
-        self._tasks.append(asyncio.ensure_future(self._run_with_restarts(work)))
-
-    async def _run_with_restarts(
-        self, work: Callable[[], Awaitable[None]]
-    ) -> None:
-        while True:
-            try:
-                await work()
-            except Exception as fault:
-                self.log.write(
-                    observability.Event.TASK_FAILED,
-                    task=work.__qualname__,
-                    fault=repr(fault),
-                )
-            await asyncio.sleep(_RESTART_PAUSE_S)
+    def _start_tasks(self) -> None:
+        run = self._supervisor.keep_running
+        run(self._prober.run)
+        if self._reads_platform:
+            run(self._watch_configuration)
+        if self._times.lists_instances:
+            run(self._poll_list)
+        run(self.pause_detector.run)
+        run(self._log_traffic)
 
 
 def _do_nothing() -> None:
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -35,7 +35,7 @@
     TASK_FAILED = (
         106,
         'task-failed',
-        'A background task raised an error and was started again.',
+        'A background task failed or ended; those without an end are restarted.',
     )
     METRICS_UNAVAILABLE = (
         108,
--- a/src/carobslip/processes/_crash_exchange.py
+++ b/src/carobslip/processes/_crash_exchange.py
@@ -1,8 +1,8 @@
 """Exchanges what entries know of crashes that prompts may have caused."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
-from typing import Any, Final
+from collections.abc import Callable, Iterable
+from typing import Final
 
 from carobslip import (
     clocks,
@@ -11,6 +11,7 @@
     hashing,
     identifiers,
     observability,
+    tasks,
 )
 
 #: Crashes noticed within this time are sent together.
@@ -53,14 +54,14 @@
         self._log = log
         self._next_round: asyncio.Future[None] | None = None
         self._exchanged_ms: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = tasks.Supervisor(log=log)
         node.register_handler(control.CrashReports, self._answer)
         node.compare_crashes(lambda: ledger.digest, self._on_differ)
 
     async def consult(self) -> None:
         """Sends all crashes to all peers, and merges those that they know."""
         if self._next_round is None:
-            self._next_round = self._spawn(self._run_round())
+            self._next_round = self._supervisor.run_once(self._run_round())
         await asyncio.shield(self._next_round)
 
     async def learn(self, addresses: Iterable[str]) -> None:
@@ -74,9 +75,7 @@
 
     async def close(self) -> None:
         """Ends all exchanges."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.close()
 
     async def _run_round(self) -> None:
         await asyncio.sleep(_BATCH_S)
@@ -121,13 +120,9 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._exchanged_ms.get(address, -_REPEAT_MS) < _REPEAT_MS:
             return
-        self._spawn(self._exchange(address, _ANSWER_TIMEOUT_MS))
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        self._supervisor.run_once(
+            self._exchange(address, _ANSWER_TIMEOUT_MS),
+        )
 
 
 def position_among(
--- a/src/carobslip/processes/_entry.py
+++ b/src/carobslip/processes/_entry.py
@@ -18,6 +18,7 @@
     reports,
     routing,
     settings,
+    tasks,
     verdicts,
 )
 from carobslip.adapters import caller_server, guard_client, operator_server
@@ -38,7 +39,6 @@
         super().__init__()
         self._own = own
         self._runners: list[web.AppRunner] = []
-        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Joins the fleet, then starts to serve callers."""
@@ -72,7 +72,8 @@
             chooser=self._chooser,
             hints=self._hints,
         )
-        self._tasks.append(asyncio.ensure_future(refresher.run()))
+        self._supervisor = tasks.Supervisor(log=self._log)
+        self._supervisor.keep_running(refresher.run)
         self._server = self._new_caller_server()
         await self._serve()
         self._log.write(
@@ -93,8 +94,7 @@
         )
         for runner in self._runners:
             await runner.cleanup()
-        for task in self._tasks:
-            task.cancel()
+        await self._supervisor.close()
         await self._member.close()
         await self._session.close()
 
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, Final
+from collections.abc import Awaitable, Callable
+from typing import Final
 
 import aiomisc
 import msgspec
@@ -19,6 +19,7 @@
     membership,
     observability,
     targets,
+    tasks,
 )
 from carobslip.adapters import control_nng
 from carobslip.processes import (
@@ -117,14 +118,15 @@
         self._connect = connect
         self._stop_began_ms: float | None = None
         self._groups: dict[identifiers.GroupId, bool] = {}
-        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Refuses requests at first; serves them once the fleet is known."""
         own = self.own
         self.clock = clocks.SystemClock()
         self.log = observability.EventLog(instance=own.instance)
+        self._supervisor = tasks.Supervisor(log=self.log, metrics=self.metrics)
         adapters = self._connect(self)
+        self._target_source = adapters.targets
         self.member = self._new_member(adapters.platform)
         self.book = targets.TargetRegistry(
             clock=self.clock,
@@ -175,10 +177,8 @@
             control.GroupLoad, self._on_group_load
         )
         self._stop_serving = await adapters.serve(self)
-        self._tasks.append(
-            asyncio.ensure_future(self._follow_target_list(adapters.targets)),
-        )
-        self._tasks.append(asyncio.ensure_future(self._join()))
+        self._supervisor.keep_running(self._follow_target_list)
+        self._supervisor.run_to_end(self._join)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Drains requests in progress, then stops."""
@@ -200,8 +200,7 @@
             log=self.log,
         )
         await self._stop_serving()
-        for task in self._tasks:
-            task.cancel()
+        await self._supervisor.close()
         await self._crash_exchange.close()
         await self.member.close()
 
@@ -214,9 +213,13 @@
         self.forwarder.rules = rules
         self._budget.bounds = repeats
 
-    def run_task(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a coroutine of an adapter until the process stops."""
-        self._tasks.append(asyncio.ensure_future(work))
+    def keep_running(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs an adapter's work until the process stops."""
+        self._supervisor.keep_running(work)
+
+    def run_to_end(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs an adapter's work that ends by itself."""
+        self._supervisor.run_to_end(work)
 
     @property
     def is_stopping(self) -> bool:
@@ -237,7 +240,8 @@
         current = self.member.pause_detector.is_current()
         informed = self._crash_watch.is_informed
         is_able = self.forwarder.is_ready and informed and current
-        return is_able and not self.is_stopping
+        is_healthy = self._supervisor.is_healthy and self.member.is_healthy
+        return is_able and is_healthy and not self.is_stopping
 
     def update_gauges(self) -> None:
         """Updates the gauge metrics."""
@@ -408,10 +412,8 @@
             return
         self.book.adopt(answer.snapshot)
 
-    async def _follow_target_list(
-        self, source: targets.TargetListSource
-    ) -> None:
-        async for update in source.follow():
+    async def _follow_target_list(self) -> None:
+        async for update in self._target_source.follow():
             self.book.apply(update)
 
     def _on_targets_changed(self) -> None:
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -7,8 +7,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
-from typing import Any, Final
+from collections.abc import Awaitable, Callable
+from typing import Final
 
 import aiomisc
 import msgspec
@@ -23,6 +23,7 @@
     identifiers,
     membership,
     observability,
+    tasks,
 )
 from carobslip.adapters import control_nng
 from carobslip.processes import _group_load, _group_peers
@@ -115,7 +116,6 @@
         self._own = own
         self._engine_at = engine_at
         self._metrics = metrics
-        self._tasks: list[asyncio.Task[None]] = []
         self._sequence = 0
         self._counts: expertmap.ExpertCounts | None = None
         self._counts_writer = expertmap.CountsWriter()
@@ -134,6 +134,7 @@
         own = self._own
         control_nng.limit_threads()
         self.log = observability.EventLog(instance=own.instance)
+        self._supervisor = tasks.Supervisor(log=self.log, metrics=self._metrics)
         self._engine = self._engine_at(own.engine_address)
         self.rank_guard = expertmap.RankGuard(engine=self._engine)
         self._member = fleet.FleetMember(
@@ -171,37 +172,43 @@
         self._load_publisher = _group_load.GroupLoadPublisher(
             node=self._member.node,
             metrics=self._metrics,
+            supervisor=self._supervisor,
         )
         self._member.node.register_handler(
             control.RankNewsPush, self._on_rank_update
         )
         self._member.node.register_handler(control.OrderRank, self._on_order)
-        self.run_task(self._run())
+        self._supervisor.run_to_end(self._join)
         if self._on_started is not None:
             self._on_started(self)
 
-    def run_task(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a coroutine of an adapter until the process stops."""
-        self._tasks.append(asyncio.ensure_future(work))
+    def keep_running(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs an adapter's work until the process stops."""
+        self._supervisor.keep_running(work)
+
+    def run_to_end(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs an adapter's work that ends by itself."""
+        self._supervisor.run_to_end(work)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Ends a switch in progress, then stops."""
         self.log.write(observability.Event.DRAIN_STARTED)
-        for task in self._tasks:
-            task.cancel()
+        await self._supervisor.close()
         if self._group_coordinator is not None:
             await self._group_coordinator.close()
-        self._load_publisher.close()
         await self._member.announce_leaving()
         await self._member.close()
 
-    async def _run(self) -> None:
+    async def _join(self) -> None:
         await self._read_first_report()
         await self._member.join()
         self.log.write(
             observability.Event.PROCESS_STARTED,
             version=self._member.holder.version,
         )
+        self._supervisor.keep_running(self._follow_engine)
+
+    async def _follow_engine(self) -> None:
         while True:
             try:
                 self._report = await self._engine.report()
--- a/src/carobslip/processes/_group_load.py
+++ b/src/carobslip/processes/_group_load.py
@@ -13,6 +13,7 @@
     hashing,
     identifiers,
     observability,
+    tasks,
 )
 
 #: Timeout of one message; a lost load is superseded by the next one.
@@ -34,6 +35,7 @@
     Args:
         node: Sends control messages.
         metrics: Counts entries that did not answer.
+        supervisor: Runs the tasks that send.
     """
 
     def __init__(
@@ -41,8 +43,10 @@
         *,
         node: control.Node,
         metrics: observability.Metrics,
+        supervisor: tasks.Supervisor,
     ) -> None:
         self._node = node
+        self._supervisor = supervisor
         self._metrics = metrics
         self._latest: control.GroupLoad | None = None
         self._confirmed: dict[identifiers.InstanceId, int] = {}
@@ -67,15 +71,10 @@
         for entry in entries:
             task = self._tasks.get(entry.instance)
             if task is None or task.done():
-                self._tasks[entry.instance] = asyncio.ensure_future(
+                self._tasks[entry.instance] = self._supervisor.run_once(
                     self._send_latest(entry),
                 )
 
-    def close(self) -> None:
-        """Cancels all sending."""
-        for task in self._tasks.values():
-            task.cancel()
-
     async def _send_latest(self, entry: directory.InstanceRecord) -> None:
         last_sent: control.GroupLoad | None = None
         while self._latest is not None and self._latest is not last_sent:
--- /dev/null
+++ b/src/carobslip/tasks/__init__.py
@@ -0,0 +1,5 @@
+"""Background tasks of a process."""
+
+from carobslip.tasks._supervisor import Supervisor
+
+__all__ = ['Supervisor']
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -55,11 +55,11 @@
             clock=clocks.SystemClock(),
             log=observability.EventLog(),
             metrics=self.metrics,
-            run_task=self.run_task,
+            keep_running=self.keep_running,
         )
 
-    def run_task(self, work):
-        self.tasks.append(asyncio.ensure_future(work))
+    def keep_running(self, work):
+        self.tasks.append(asyncio.ensure_future(work()))
 
     async def start(self, port):
         server = callers.CallerServer(
