Answer other peers after a request whose answer cannot be encoded

Cause: a failed handler was answered with a refusal, but an answer that cannot be encoded raised outside of that, and passed through the worker's loop. Change: handling and encoding fail together, with a refusal as the answer and a line in the log (peer-request-failed), which repeated failures do not repeat. Evidence: test_requests_that_cannot_be_answered_do_not_stop_the_others failed before in 2 of 2 cases, and passes.

--- a/src/carobslip/control/_node.py
+++ b/src/carobslip/control/_node.py
@@ -31,7 +31,8 @@
         holder: The configuration that it holds.
         transport: Carries the messages.
         metrics: Counts them by type.
-        log: Receives a line for each attempt to fetch a configuration.
+        log: Receives a line for each attempt to fetch a configuration, and for
+            requests that could not be answered.
         fetch_pause_ms: Minimum time between the starts of two fetches.
     """
 
@@ -48,6 +49,8 @@
         self.origin = origin
         self.holder = holder
         self._transport = transport
+        self._log = log
+        self._last_failure = ''
         self.traffic = _traffic.Traffic(metrics=metrics)
         self._handlers: dict[type[_messages.Message], MessageHandler] = {}
         self._packages = _package_cache.PackageCache(holder=holder)
@@ -188,22 +191,42 @@
             self.undecodable_total += 1
             return self._wrap(_messages.Refused(fault=str(fault)[:500]))
         self.traffic.note_received(envelope.message, len(frame))
-        self._compare_versions(envelope)
-        answer = await self._answer(envelope)
-        encoded = self._wrap(answer)
+        try:
+            answer, encoded = await self._answer(envelope)
+        except Exception as fault:
+            # A failed request must not stop this process from answering others.
+            self._note_failure(envelope, repr(fault)[:500])
+            answer = _messages.Refused(fault=repr(fault)[:500])
+            encoded = self._wrap(answer)
         self.traffic.note_sent(answer, len(encoded))
         return encoded
 
-    async def _answer(self, envelope: _messages.Envelope) -> _messages.Message:
+    async def _answer(
+        self, envelope: _messages.Envelope
+    ) -> tuple[_messages.Message, bytes]:
+        """Returns the answer to a request, also encoded."""
+        self._compare_versions(envelope)
+        answer: _messages.Message
         handler = self._handlers.get(type(envelope.message))
         if handler is None:
-            return _messages.Refused(fault='request not served here')
-        try:
-            return await handler(envelope.message, envelope.origin)
-        except Exception as fault:
-            # A failed request must not stop this process from answering others.
-            self.failed_total += 1
-            return _messages.Refused(fault=repr(fault)[:500])
+            answer = _messages.Refused(fault='request not served here')
+        else:
+            answer = await handler(envelope.message, envelope.origin)
+        return answer, self._wrap(answer)
+
+    def _note_failure(self, envelope: _messages.Envelope, fault: str) -> None:
+        """Counts a failure; records it unless it repeats the last one."""
+        self.failed_total += 1
+        request = type(envelope.message).__name__
+        failure = f'{request}: {fault}'
+        if failure != self._last_failure:
+            self._last_failure = failure
+            self._log.write(
+                observability.Event.PEER_REQUEST_FAILED,
+                request=request,
+                origin=envelope.origin.instance,
+                fault=fault,
+            )
 
     def _compare_versions(self, envelope: _messages.Envelope) -> None:
         order = envelope.configuration_order
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -125,6 +125,11 @@
         'control-traffic',
         'Bytes of control messages by direction and type since the last line.',
     )
+    PEER_REQUEST_FAILED = (
+        304,
+        'peer-request-failed',
+        'A request of a peer could not be answered.',
+    )
     REQUEST_IN_DOUBT = (
         401,
         'request-in-doubt',
--- a/tests/test_control_transport.py
+++ b/tests/test_control_transport.py
@@ -7,8 +7,17 @@
 
 import pytest
 
-from carobslip import control
+from carobslip import (
+    clocks,
+    configuration,
+    control,
+    identifiers,
+    observability,
+    targets,
+)
 from carobslip.adapters import control_nng
+from tests.fakes import cluster
+from tests.fakes import forwarding as fakes
 
 #: Handshake that a requester, like any peer, sends first in the protocol.
 HANDSHAKE = b'\x00SP\x00' + struct.pack('>HH', 0x30, 0)
@@ -104,3 +113,59 @@
     assert await client.call(addresses[0], b'news', 1000) == b'news'
     for transport in (client, server, second):
         await transport.close()
+
+
+def new_node(name, log):
+    address = free_address()
+    return control.Node(
+        origin=control.Origin(
+            instance=identifiers.InstanceId(name),
+            incarnation=identifiers.Incarnation(1),
+            control_address=address,
+        ),
+        holder=configuration.Holder(clock=clocks.SystemClock()),
+        transport=control_nng.NngTransport(),
+        metrics=observability.NoMetrics(),
+        log=log,
+    )
+
+
+async def list_with_a_large_number(request, origin):
+    record = fakes.record('i-1', fakes.SERVICE, sequence=1 << 70)
+    return control.TargetList(
+        snapshot=targets.TargetSnapshot(records=(record,), revision=1)
+    )
+
+
+async def raise_recursion_error(request, origin):
+    raise RecursionError('deep')
+
+
+@pytest.mark.parametrize(
+    'handler', [list_with_a_large_number, raise_recursion_error]
+)
+async def test_requests_that_cannot_be_answered_do_not_stop_the_others(handler):
+    log = cluster.RecordingLog()
+    server, client = new_node('server', log), new_node('client', log)
+    server.register_handler(control.FetchTargets, handler)
+    await server.start()
+    address = server.origin.control_address
+    for _number in range(3 * control_nng._WORKERS):
+        with pytest.raises(control.PeerUnreachable):
+            await client.ask(
+                address,
+                control.FetchTargets(),
+                answer=control.TargetList,
+                timeout_ms=300,
+            )
+        noted = await client.ask(
+            address,
+            control.CompareVersions(),
+            answer=control.Noted,
+            timeout_ms=1000,
+        )
+        assert noted == control.Noted()
+    written = [event for event, _fields in log.events]
+    assert written.count(observability.Event.PEER_REQUEST_FAILED) == 1
+    await client.close()
+    await server.close()
