Skip entries of engines whose numbers, address or name cannot be used

Seen: an entry of another writer with a number beyond 64 bits, a port out of range or a key with a line end was listed as an engine. Cause: only the types of the fields were checked. Change: counts are bounded by what messages carry, slots by a million; the address is an IPv4 address with a port, and the name printable ASCII. What does not fit is skipped and logged, as other entries that name no engine.

--- a/tests/test_odd_content.py
+++ b/tests/test_odd_content.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import json
 
 import pytest
 from users_platform import documents, engine_calls, engine_control, settings
@@ -45,6 +46,43 @@
 NESTED = ('nested objects', 'nested arrays')
 
 
+# name: fields of an entry that would otherwise name an engine
+ODD_FIELDS = {
+    'port 0': {'address': '10.0.0.1:0'},
+    'port above the range': {'address': '10.0.0.1:65536'},
+    'port of many digits': {'address': f'10.0.0.1:{"1" * 5000}'},
+    'negative port': {'address': '10.0.0.1:-1'},
+    'port in other digits': {'address': '10.0.0.1:\uff18\uff10'},
+    'port with a path': {'address': '10.0.0.1:80/x'},
+    'no port': {'address': '10.0.0.1'},
+    'no address': {'address': ''},
+    'host name': {'address': 'engine.example:80'},
+    'user name': {'address': 'user@10.0.0.1:80'},
+    'address out of range': {'address': '10.0.0.256:80'},
+    'report number beyond 64 bits': {'seq': 1 << 64},
+    'negative report number': {'seq': -1},
+    'start beyond 64 bits': {'born': 10**30},
+    'negative start': {'born': -(1 << 70)},
+    'slots beyond all engines': {'slots': 1e300},
+    'slots of 400 digits': {'slots': 10**400},
+    'negative slots': {'slots': -1},
+}
+
+
+@pytest.mark.parametrize('name', ODD_FIELDS)
+def test_entry_with_an_odd_field_names_no_engine(name):
+    entry = json.dumps({**platforms.SERVER, **ODD_FIELDS[name]}).encode()
+    with pytest.raises(documents.MalformedDocument):
+        documents.target_of('servers/i-1', entry)
+
+
+@pytest.mark.parametrize('key', ['servers/', 'servers/i\r\nX: 1', 'servers/ '])
+def test_entry_whose_key_is_no_name_names_no_engine(key):
+    entry = json.dumps(platforms.SERVER).encode()
+    with pytest.raises(documents.MalformedDocument):
+        documents.target_of(key, entry)
+
+
 @pytest.mark.parametrize('name', ODD)
 def test_odd_entry_and_configuration_are_refused(name):
     with pytest.raises(documents.MalformedDocument):
