Bound and pace the events of a stream

Cause: each empty line after another counted as an event; all events of a part were handled without a turn for other requests; and events without a number, comments and repeated events were bounded by nothing. A number of more than 4,300 digits raised an error of its own, and an event without an end was scanned from its begin with each part. Change: empty lines belong to the event before them. After 64 events of a part a stream pauses for 2 ms. A megabyte without a new event counts as a lost stream, except for events with fields in streams that have no numbers. Numbers have 18 digits at most. Checking what continues a stream has a module.

--- a/src/carobslip/forwarding/_events.py
+++ b/src/carobslip/forwarding/_events.py
@@ -1,12 +1,16 @@
 """Splits the bytes of an event stream into complete events."""
 
 import re
+from collections.abc import Iterator
 from typing import Final
 
 import msgspec
 
-_END: Final = re.compile(b'\r?\n\r?\n')
-_NUMBER: Final = re.compile(b'^id: ?([0-9]+)\r?$', re.MULTILINE)
+#: Further empty lines belong to the event before them; they start none.
+_END: Final = re.compile(b'\r?\n(?:\r?\n)+')
+#: Bytes of an end that earlier content may have left unfinished.
+_END_PART_BYTES: Final = 3
+_NUMBER: Final = re.compile(b'^id: ?([0-9]{1,18})\r?$', re.MULTILINE)
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -40,17 +44,16 @@
         """Whether the bytes so far end with a part of an event."""
         return bool(self.rest.strip(b'\r\n'))
 
-    def feed(self, content: bytes) -> list[StreamEvent]:
-        """Adds bytes and returns the events that are complete now."""
+    def feed(self, content: bytes) -> Iterator[StreamEvent]:
+        """Adds bytes, then yields the events that are complete now."""
+        scan_from = max(0, len(self.rest) - _END_PART_BYTES)
         self.rest += content
-        events = []
         begin = 0
-        for end in _END.finditer(self.rest):
+        for end in _END.finditer(self.rest, scan_from):
             raw = self.rest[begin : end.end()]
-            events.append(StreamEvent(raw, _number_of(raw)))
+            yield StreamEvent(raw, _number_of(raw))
             begin = end.end()
         self.rest = self.rest[begin:]
-        return events
 
 
 def _number_of(raw: bytes) -> int | None:
--- a/src/carobslip/forwarding/_relay.py
+++ b/src/carobslip/forwarding/_relay.py
@@ -1,11 +1,15 @@
 """Forwards the answer of a target to the caller."""
 
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Iterator
 from typing import Final
 
 from carobslip import guard
 from carobslip.forwarding import (
     _calls,
     _context,
+    _continuation,
     _events,
     _pending_request,
     _ports,
@@ -17,6 +21,11 @@
 _ANSWER_MAX_BYTES: Final = 8_388_608
 #: Longest event of a stream; bounds the buffer for an event without an end.
 _EVENT_MAX_BYTES: Final = 1_048_576
+#: Events of one stream that are handled before other requests get a turn, and
+#: the pause after them. A target that sends small events as fast as its link
+#: permits then uses a small part of the processor.
+_BATCH_EVENTS: Final = 64
+_BATCH_PAUSE_S: Final = 0.002
 
 
 class Relay:
@@ -65,31 +74,27 @@
         """Forwards a stream event by event.
 
         Raises:
-            guard.TargetLost: The stream broke off, or does not continue the
-                one that has begun; complete events were forwarded.
+            guard.TargetLost: The stream broke off, does not continue the one
+                that has begun, or goes on without a new event; complete events
+                were forwarded.
         """
         splitter = _events.EventSplitter()
-        resumed_after = pending.last_event
+        continuation = _continuation.Continuation(pending)
         async for content in answer.chunks():
             self._note_received(call, content)
-            complete = splitter.feed(content)
-            call.progress.events += len(complete)
-            resumed_after = _check_continuation(complete, resumed_after)
-            fresh = [
-                event.raw for event in complete if _is_next(pending, event)
-            ]
+            async for batch in _batches_of(splitter.feed(content)):
+                call.check()
+                call.progress.events += len(batch)
+                fresh = continuation.take(batch)
+                await self._forward(pending, call, answer.head, fresh)
             if len(splitter.rest) > _EVENT_MAX_BYTES:
                 raise guard.TargetLost('an event is too long')
-            if fresh:
-                with call.sending_to_caller():
-                    await self._write(pending, answer.head, b''.join(fresh))
         if splitter.is_inside_event:
             raise guard.TargetLost('the stream ended inside an event')
         if not pending.begun:
             raise guard.TargetLost('the stream ended before its first event')
+        await self._forward(pending, call, answer.head, splitter.rest)
         with call.sending_to_caller():
-            if splitter.rest:
-                await self._write(pending, answer.head, splitter.rest)
             await pending.caller.end()
 
     def _note_received(self, call: _calls.Call, content: bytes) -> None:
@@ -98,6 +103,17 @@
         if content:
             self._stalls.note_received(call.place.target)
 
+    async def _forward(
+        self,
+        pending: _pending_request.PendingRequest,
+        call: _calls.Call,
+        head: _request.AnswerHead,
+        content: bytes,
+    ) -> None:
+        if content:
+            with call.sending_to_caller():
+                await self._write(pending, head, content)
+
     async def _write(
         self,
         pending: _pending_request.PendingRequest,
@@ -111,52 +127,16 @@
             pending.first_event_ms = after_ms
             self._context.metrics.time_ms('first_event', after_ms)
             await pending.caller.begin(head)
-        if content:
-            await pending.caller.write(content)
-
-
-def _check_continuation(
-    complete: list[_events.StreamEvent], resumed_after: int | None
-) -> int | None:
-    """Checks the first event of a target that resumes a stream.
-
-    Args:
-        complete: Events of the target.
-        resumed_after: The event that the first of them has to follow; None if
-            that has been checked, or need not be.
-
-    Returns:
-        What the first event of a later call has to follow.
-
-    Raises:
-        guard.TargetLost: It does not follow: the target reports an error as a
-            stream, or runs the request anew.
-    """
-    fields = (event for event in complete if not event.is_comment)
-    first = next(fields, None)
-    if resumed_after is None or first is None:
-        return resumed_after
-    if first.number != resumed_after + 1:
-        raise guard.TargetLost(
-            f'resumed after {resumed_after} with event {first.number}'
-        )
-    return None
-
-
-def _is_next(
-    pending: _pending_request.PendingRequest, event: _events.StreamEvent
-) -> bool:
-    """Tells whether an event is new, and records its number.
-
-    Raises:
-        guard.TargetLost: An event is missing before it.
-    """
-    if event.number is None:
-        return True
-    last = pending.last_event
-    if last is not None and event.number <= last:
-        return False
-    if last is not None and event.number > last + 1:
-        raise guard.TargetLost(f'event {event.number} follows {last}')
-    pending.last_event = event.number
-    return True
+        await pending.caller.write(content)
+
+
+async def _batches_of(
+    complete: Iterator[_events.StreamEvent],
+) -> AsyncIterator[list[_events.StreamEvent]]:
+    """Yields some events at a time, with a pause between."""
+    batch = list(itertools.islice(complete, _BATCH_EVENTS))
+    while batch:
+        yield batch
+        if len(batch) == _BATCH_EVENTS:
+            await asyncio.sleep(_BATCH_PAUSE_S)
+        batch = list(itertools.islice(complete, _BATCH_EVENTS))
