Forward the events before a gap in the same part of a stream

Seen: in a test, a target sends events 1 and 2 and then event 4 in one part; the caller gets event 3 of the next target first, and never events 1 and 2. Cause: the number of each event was recorded before the gap was found, and the error of the gap dropped the events that had been taken. Change: events up to the gap are forwarded before the call counts as lost.

--- a/src/carobslip/forwarding/_continuation.py
+++ b/src/carobslip/forwarding/_continuation.py
@@ -23,16 +23,33 @@
         #: has been checked, or need not be.
         self._resumed_after = pending.last_event
         self._surplus_bytes = 0
+        self._fault: str | None = None
 
     def take(self, batch: list[_events.StreamEvent]) -> bytes:
-        """Returns the content of the events that are new.
+        """Returns the content of the events that are new, up to a fault.
 
         Raises:
-            guard.TargetLost: The events do not follow the last one, or none of
-                them has been new for long.
+            guard.TargetLost: The first event does not follow the last one of
+                the caller.
         """
         self._check_first(batch)
-        return b''.join(event.raw for event in batch if self._is_next(event))
+        fresh = []
+        for event in batch:
+            if self._is_next(event):
+                fresh.append(event.raw)
+            if self._fault is not None:
+                break
+        return b''.join(fresh)
+
+    def check(self) -> None:
+        """Checks what was taken last.
+
+        Raises:
+            guard.TargetLost: The events do not follow each other, or none of
+                them has been new for long.
+        """
+        if self._fault is not None:
+            raise guard.TargetLost(self._fault)
 
     def _check_first(self, batch: list[_events.StreamEvent]) -> None:
         """Checks the first event of a target that resumes a stream.
@@ -63,7 +80,8 @@
             self._note_surplus(event)
             return False
         if last is not None and event.number > last + 1:
-            raise guard.TargetLost(f'event {event.number} follows {last}')
+            self._fault = f'event {event.number} follows {last}'
+            return False
         self._pending.last_event = event.number
         self._surplus_bytes = 0
         return True
@@ -71,6 +89,4 @@
     def _note_surplus(self, event: _events.StreamEvent) -> None:
         self._surplus_bytes += len(event.raw)
         if self._surplus_bytes > _SURPLUS_MAX_BYTES:
-            raise guard.TargetLost(
-                f'{self._surplus_bytes} bytes without a new event'
-            )
+            self._fault = f'{self._surplus_bytes} bytes without a new event'
--- a/src/carobslip/forwarding/_relay.py
+++ b/src/carobslip/forwarding/_relay.py
@@ -87,6 +87,7 @@
                 call.progress.events += len(batch)
                 fresh = continuation.take(batch)
                 await self._forward(pending, call, answer.head, fresh)
+                continuation.check()
             if len(splitter.rest) > _EVENT_MAX_BYTES:
                 raise guard.TargetLost('an event is too long')
         if splitter.is_inside_event:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -44,6 +44,27 @@
 }
 
 
+def numbered(*numbers):
+    return b''.join(b'id: %d\ndata: x\n\n' % number for number in numbers)
+
+
+@pytest.mark.parametrize('size', [1, 2, 70])
+def test_events_before_a_gap_in_one_part_reach_the_caller(size):
+    before = numbered(*range(1, size + 1))
+    after = numbered(size + 1)
+
+    async def scenario():
+        entry = fakes.Entry(
+            [stream(before + numbered(size + 2)), stream(after)],
+            held=fakes.table(),
+        )
+        _outcome, caller = await entry.send('/note/x')
+        assert caller.body == before + after
+        assert caller.is_whole
+
+    virtual.run(scenario)
+
+
 @pytest.mark.parametrize('name', FOREIGN)
 def test_only_a_continuation_is_added_to_a_stream_that_has_begun(name):
     async def scenario():
