Refuse requests that come late in a planned stop, wherever they wait

Seen: whether a request is still accepted in a planned stop was asked once, when its head had been read. Where the platform gives a stop less than 2.5 s, requests were accepted until its end. The product's own entry accepted them until its end in every case. Cause: nothing told the queue of a stop, and the time for accepting did not depend on that of the stop. Change: when the time for accepting ends, at most 0.35 of the stop, requests that no target has got are refused as not run, queued ones within 50 ms; requests that a target has got are completed and resumed as before.

--- a/src/carobslip/adapters/caller_server.py
+++ b/src/carobslip/adapters/caller_server.py
@@ -24,6 +24,8 @@
 
 _BODY_MAX_BYTES: Final = 67_108_864
 _PROBLEM_TYPE: Final = 'application/problem+json'
+#: Other entries take requests that a stopping one refuses.
+_DRAINING_RETRY_MS: Final = 100
 _EVENT_STREAM: Final = 'text/event-stream'
 
 _Reason = verdicts.Reason
@@ -107,6 +109,11 @@
         self._log = log
         self._on_ended = on_ended
         self.in_progress = 0
+        self._is_accepting = True
+
+    def stop_accepting(self) -> None:
+        """Refuses new requests; those in progress are completed."""
+        self._is_accepting = False
 
     def application(self) -> web.Application:
         """Returns the HTTP application."""
@@ -165,6 +172,13 @@
             return self._problem(request_id, refused.outcome)
         finally:
             self.in_progress -= 1
+        if not self._is_accepting:
+            return self._problem(
+                request_id,
+                verdicts.not_run(
+                    _Reason.DRAINING, retry_after_ms=_DRAINING_RETRY_MS
+                ),
+            )
         return await self._run_checked(request, checked)
 
     async def _run_checked(
--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -135,8 +135,13 @@
         self._clock = clock
         self._random = generator
         self._order = 0
+        self.is_closed = False
         self._waiters: dict[identifiers.ServiceId, list[_Waiter]] = {}
 
+    def close(self) -> None:
+        """Refuses all requests that have not run, those in the queues too."""
+        self.is_closed = True
+
     def waiting(self, service: identifiers.ServiceId) -> int:
         """Returns how many requests wait for a service."""
         return len(self._waiters.get(service, ()))
@@ -163,6 +168,8 @@
         Args:
             demand: What the request needs.
         """
+        if self._is_closed_for(demand):
+            return self._refuse('no new requests', demand)
         if demand.may_have_run or not self.waiting(demand.service):
             record = self._find_place(demand)
             if record is not None:
@@ -203,13 +210,7 @@
         queue = self._waiters.setdefault(demand.service, [])
         queue.append(waiter)
         try:
-            while self._clock.now_ms() < demand.wait_until_ms:
-                await asyncio.wait([waiter.start], timeout=_RECHECK_S)
-                if not waiter.start.done():
-                    self.start_queued(demand.service)
-                if waiter.start.done():
-                    return waiter.start.result()
-            return self._refuse('waited too long', demand)
+            return await self._end_of_wait(waiter)
         except asyncio.CancelledError:
             if waiter.start.done():
                 self.release(waiter.start.result())
@@ -218,6 +219,24 @@
             if waiter in queue:
                 queue.remove(waiter)
 
+    async def _end_of_wait(
+        self, waiter: _Waiter
+    ) -> targets.TargetRecord | Refusal:
+        demand = waiter.demand
+        while self._clock.now_ms() < demand.wait_until_ms:
+            await asyncio.wait([waiter.start], timeout=_RECHECK_S)
+            is_closed = self._is_closed_for(demand)
+            if not waiter.start.done() and not is_closed:
+                self.start_queued(demand.service)
+            if waiter.start.done():
+                return waiter.start.result()
+            if is_closed:
+                return self._refuse('no new requests', demand)
+        return self._refuse('waited too long', demand)
+
+    def _is_closed_for(self, demand: Demand) -> bool:
+        return self.is_closed and not demand.may_have_run
+
     def _predict_refusal(self, demand: Demand) -> Refusal | None:
         """Returns a refusal if the request is not expected to start in time."""
         candidates = self._candidates(demand.service)
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -129,6 +129,13 @@
         self._configured.set()
         self.admission.recheck_queues()
 
+    def stop_accepting(self) -> None:
+        """Refuses requests that no target has got; a planned stop is near.
+
+        Those that targets have got are continued.
+        """
+        self.admission.close()
+
     @property
     def limits(self) -> configuration.CallerLimits:
         """Bounds on callers that are in force."""
@@ -405,6 +412,8 @@
                 _Reason.CONNECTION_LOST,
                 refusal.reason,
             )
+        if self.admission.is_closed:
+            return _refuse_with_short_retry(_Reason.DRAINING)
         return verdicts.not_run(
             _Reason.NO_ROOM,
             f'{refusal.reason}, {refusal.waiting} waiting',
--- a/src/carobslip/processes/_drain.py
+++ b/src/carobslip/processes/_drain.py
@@ -7,6 +7,18 @@
 from carobslip import clocks, observability
 
 _POLL_INTERVAL_S: Final = 0.02
+#: Part of the time of a planned stop in which new requests are still accepted.
+#: The rest is for completing them.
+_ACCEPT_SHARE: Final = 0.35
+
+
+def accept_ms(drain_ms: float) -> float:
+    """Returns how long after the begin of a stop requests are accepted.
+
+    Args:
+        drain_ms: Longest duration of the stop.
+    """
+    return _ACCEPT_SHARE * drain_ms
 
 
 async def wait_until_idle(
--- a/src/carobslip/processes/_entry.py
+++ b/src/carobslip/processes/_entry.py
@@ -84,11 +84,15 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Drains requests in progress, then stops."""
         self._log.write(observability.Event.DRAIN_STARTED)
+        drain_ms = self._member.holder.configuration.defaults.drain_ms
+        asyncio.get_running_loop().call_later(
+            _drain.accept_ms(drain_ms) / 1000, self._server.stop_accepting
+        )
         await self._member.announce_leaving()
         await asyncio.sleep(_STOP_DELAY_S)
         await _drain.wait_until_idle(
             lambda: self._server.in_progress == 0,
-            drain_ms=self._member.holder.configuration.defaults.drain_ms,
+            drain_ms=drain_ms,
             clock=self._clock,
             log=self._log,
         )
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -189,6 +189,9 @@
             observability.Event.DRAIN_STARTED,
             in_progress=self.forwarder.in_progress,
         )
+        asyncio.get_running_loop().call_later(
+            self._accept_ms / 1000, self.forwarder.stop_accepting
+        )
         await self.member.announce_leaving()
         await _drain.wait_until_idle(
             lambda: (
@@ -232,7 +235,12 @@
         if self._stop_began_ms is None:
             return True
         stopping_ms = self.clock.now_ms() - self._stop_began_ms
-        return stopping_ms < self.own.accept_ms
+        return stopping_ms < self._accept_ms
+
+    @property
+    def _accept_ms(self) -> float:
+        own = self.own
+        return min(own.accept_ms, _drain.accept_ms(own.drain_ms))
 
     @property
     def is_ready(self) -> bool:
