Refuse answers whose head is joined from two

Cause: bytes that arrive after the next request has been sent are read as the begin of its answer. If they end within a header or the reason phrase, the rest of that line is the status line of the real answer, and the library returns one head with the first status and the headers of both, the request's id among them. Change: a middleware of the sessions to engines, the store and other processes refuses heads with a status line in the reason phrase or in a header. The request counts as arrived, its answer as lost, and the connection is closed.

--- a/src/carobslip/adapters/guard_client.py
+++ b/src/carobslip/adapters/guard_client.py
@@ -8,7 +8,11 @@
 import aiohttp
 
 from carobslip import attempts, entry
-from carobslip.adapters import client_faults, single_sends
+from carobslip.adapters import (
+    client_faults,
+    joined_heads,
+    single_sends,
+)
 
 _CONNECT_TIMEOUT_S: Final = 0.5
 
@@ -110,5 +114,8 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         trust_env=False,
-        middlewares=(single_sends.send_once,),
+        middlewares=(
+            single_sends.send_once,
+            joined_heads.refuse_joined_heads,
+        ),
     )
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -131,6 +131,47 @@
     assert seen == expected
 
 
+EARLIER = (
+    b'HTTP/1.1 200 OK\r\nServer: engine\r\nDate: Sat, 05 Dec 2026\r\n'
+    b'Content-Type: text/plain\r\nX-Response-Seal: s0\r\n'
+)
+FAILED = (
+    b'HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: r1\r\n'
+    b'X-Response-Seal: s1\r\nContent-Length: 2\r\n\r\nno'
+)
+
+
+@pytest.mark.parametrize('cut', range(len(EARLIER) + 1))
+async def test_part_of_an_earlier_answer_never_gives_a_failure_its_status(
+    calls, cut
+):
+    engine = ScriptedEngine([(WHOLE, b''), (EARLIER[:cut] + FAILED, b'')])
+    call = platforms._call(await engine.start())
+    statuses = []
+    for _number in range(2):
+        try:
+            async with calls.call(call) as answer:
+                statuses.append(answer.head.status)
+                async for _part in answer.chunks():
+                    pass
+        except guard.TargetLost:
+            statuses.append('lost')
+    engine.stop()
+    assert statuses == [200, 500 if cut == 0 else 'lost']
+
+
+@pytest.mark.parametrize('cut', [15, 40, 60])
+async def test_part_of_an_earlier_answer_is_not_that_of_an_order(session, cut):
+    engine = ScriptedEngine([(ACCEPTED, b''), (EARLIER[:cut] + CONFLICT, b'')])
+    client = control_of(session, await engine.start())
+    order = expertmap.RankOrder(
+        kind=expertmap.OrderKind.ARM, epoch=1, fence=1, step=1
+    )
+    assert await client.order(order) is expertmap.OrderEnd.DONE
+    assert await client.order(order) is expertmap.OrderEnd.LOST
+    engine.stop()
+
+
 async def test_connection_is_not_kept_after_a_refusal(calls):
     engine = ScriptedEngine([(REFUSAL, b''), (WHOLE, b''), (WHOLE, b'')])
     address = await engine.start()
