Follow no redirects of engines, the store or other processes

Seen: in a test, an engine that answers an order or a question for its report with a redirect makes the guard send it to the address in that answer, so that another engine gets the order. Cause: the library follows redirects by default; only callers' requests switched that off. Change: no call of the project follows redirects. They count as any other status that is not expected.

--- a/src/carobslip/adapters/guard_client.py
+++ b/src/carobslip/adapters/guard_client.py
@@ -100,6 +100,7 @@
                     attempts.ATTEMPT_HEADER: header,
                     'Content-Type': 'application/octet-stream',
                 },
+                allow_redirects=False,
             )
 
 
--- a/src/carobslip/adapters/platform_client.py
+++ b/src/carobslip/adapters/platform_client.py
@@ -78,6 +78,7 @@
                 url,
                 params=query,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
+                allow_redirects=False,
             ) as response:
                 return await _read_text(response)
         except (aiohttp.ClientError, OSError, TimeoutError) as fault:
--- a/src/carobslip/adapters/target_client.py
+++ b/src/carobslip/adapters/target_client.py
@@ -80,6 +80,7 @@
             async with self._session.get(
                 f'{self._base_url}{self._probe_path}',
                 timeout=aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 return response.status < 500
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/tests/test_single_sends.py
+++ b/tests/test_single_sends.py
@@ -7,14 +7,19 @@
 
 import msgspec
 import pytest
-from users_platform import engine_calls
+from users_platform import connections, engine_calls, engine_control
 
-from carobslip import guard, identifiers
-from carobslip.adapters import guard_client, target_client
+from carobslip import expertmap, fleet, guard, identifiers, settings
+from carobslip.adapters import guard_client, platform_client, target_client
+from tests import test_kept_connections as kept
 from tests import test_users_platform as platforms
 
 METHODS = ('GET', 'HEAD', 'OPTIONS', 'TRACE', 'PUT', 'DELETE', 'POST', 'PATCH')
 WHOLE = platforms.OK + b'Content-Length: 2\r\n\r\nab'
+REDIRECT = (
+    b'HTTP/1.1 %d X\r\nLocation: %b\r\nContent-Length: 0\r\n'
+    b'Connection: close\r\n\r\n'
+)
 RESET = struct.pack('ii', 1, 0)
 
 
@@ -126,3 +131,56 @@
             await session.put(f'http://{address}/', data=b'x')
     target.stop()
     assert target.runs == 1
+
+
+async def _report_of(address):
+    session = connections.new_session(idle_s=None)
+    client = engine_control.EngineControlClient(
+        address=address, session=session, timeout_s=1
+    )
+    try:
+        with pytest.raises(expertmap.EngineUnavailable):
+            await client.report()
+    finally:
+        await session.close()
+
+
+async def _order_to(address):
+    session = connections.new_session(idle_s=None)
+    client = engine_control.EngineControlClient(
+        address=address, session=session, timeout_s=1
+    )
+    order = expertmap.RankOrder(
+        kind=expertmap.OrderKind.GO, epoch=1, fence=1, step=1
+    )
+    try:
+        assert await client.order(order) is expertmap.OrderEnd.REFUSED
+    finally:
+        await session.close()
+
+
+async def _list_from(address):
+    url = f'http://{address}/list'
+    async with guard_client.new_session() as session:
+        client = platform_client.PlatformClient(
+            addresses=settings.PlatformSettings(
+                configuration_url=url, instances_url=url
+            ),
+            session=session,
+        )
+        with pytest.raises(fleet.PlatformUnavailable):
+            await client.read_instances()
+
+
+@pytest.mark.parametrize('send', [_report_of, _order_to, _list_from])
+@pytest.mark.parametrize('status', [301, 302, 303, 307, 308])
+async def test_redirect_is_not_followed_to_another_address(status, send):
+    other = LossyTarget(answers=9, ends_by='close')
+    location = f'http://{await other.start()}/'
+    redirecting = kept.ScriptedEngine(
+        [(REDIRECT % (status, location.encode()), b'')]
+    )
+    await send(await redirecting.start())
+    redirecting.stop()
+    other.stop()
+    assert other.runs == 0
