Send nothing more to a target that says that it leaves

Nothing read the header Server-Leaving. A list that still says ready, an outage or a restore of the list change nothing; a later start of the target is used. Its end is not taken for a crash.

--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -291,6 +291,8 @@
                 total,
                 valid_ms=_loads.ANSWER_VALID_MS,
             )
+        if answer.is_leaving and not answer.is_other_target:
+            self._registry.note_leaving(place)
         if not answer.is_other_target:
             self._admission.permits.limits.note_answer(
                 place.target,
--- a/src/carobslip/forwarding/_crash_watch.py
+++ b/src/carobslip/forwarding/_crash_watch.py
@@ -89,6 +89,8 @@
         listed = self._registry.find(place.target)
         if listed is None or listed.state is targets.TargetState.DRAINING:
             return False
+        if self._registry.is_leaving(place):
+            return False
         start = crashes.start_of(place)
         check = self._checks.get(start)
         if check is None:
--- a/src/carobslip/forwarding/_ports.py
+++ b/src/carobslip/forwarding/_ports.py
@@ -100,6 +100,7 @@
         load: Load that the target reports; None if it reports none.
         rate_limits: Values that name the requests a second which the target
             takes from all entries together, as received.
+        is_leaving: The target says that it leaves.
         target_at_fault: The target that caused the failure, if the answering
             one names another.
     """
@@ -110,6 +111,7 @@
     is_event_stream: bool
     load: TargetLoad | None
     rate_limits: tuple[str, ...]
+    is_leaving: bool
     target_at_fault: identifiers.TargetId | None
 
     def chunks(self) -> AsyncIterator[bytes]:
--- a/src/carobslip/targets/_registry.py
+++ b/src/carobslip/targets/_registry.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from carobslip import clocks, identifiers, observability
-from carobslip.targets import _departures, _records
+from carobslip.targets import _departures, _leavers, _records
 
 #: Targets whose entries expired during an outage of the list register again
 #: within two seconds of its recovery; the rest covers reading the list.
@@ -42,6 +42,7 @@
         ] = {}
         self._replaced: set[identifiers.TargetId] = set()
         self._grace_until_ms: dict[identifiers.TargetId, float] = {}
+        self._leavers = _leavers.Leavers()
         self._departures = _departures.Departures(clock=clock)
         self._failed_ms = -_OUTAGE_WINDOW_MS
         self._is_lost = False
@@ -82,6 +83,7 @@
             record
             for record in self._records.values()
             if record.target not in self._replaced
+            and not self._leavers.has_left(record)
         ]
         for record in present:
             started_ms = record.started_wall_ms
@@ -107,6 +109,32 @@
                 revision=self.revision,
             )
 
+    def note_leaving(self, record: _records.TargetRecord) -> None:
+        """Excludes the start of a target that has said that it leaves.
+
+        The list may say otherwise for a while, or for as long as it cannot be
+        read.
+
+        Args:
+            record: The target as it was called.
+        """
+        if self._leavers.has_left(record):
+            return
+        self._leavers.add(record)
+        self._log.write(
+            observability.Event.TARGET_OUT,
+            target=record.target,
+            why='it says that it leaves',
+            started_wall_ms=record.started_wall_ms,
+            revision=self.revision,
+        )
+        if self._on_changed is not None:
+            self._on_changed()
+
+    def is_leaving(self, record: _records.TargetRecord) -> bool:
+        """Tells whether this start of a target has said that it leaves."""
+        return self._leavers.has_left(record)
+
     def apply(self, update: _records.TargetUpdate) -> None:
         """Applies an update of the list."""
         if isinstance(update, _records.TargetListLost):
--- a/tests/fakes/crashing_engines.py
+++ b/tests/fakes/crashing_engines.py
@@ -53,6 +53,7 @@
         self.is_event_stream = True
         self.load = None
         self.rate_limits = ()
+        self.is_leaving = False
         self.target_at_fault = None
         self._world = world
         self._engine = engine
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -38,6 +38,7 @@
         is_event_stream=False,
         load=None,
         rate_limits=(),
+        is_leaving=False,
         part_pause_s=0.01,
     ):
         self.head = forwarding.AnswerHead(
@@ -52,6 +53,7 @@
         self.is_event_stream = is_event_stream
         self.load = load
         self.rate_limits = rate_limits
+        self.is_leaving = is_leaving
         self.target_at_fault = None
 
     async def chunks(self):
