Send a target nothing for the time that it names with status 503

Change: the time is kept per target, and ends with nothing but itself: neither a success, nor the end of a stall, nor a shorter time of a later answer. Placing, queues, repeats, resumed streams and second calls leave the target out. If all targets turn away, callers are told at once when the first one is usable again.

--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -37,6 +37,9 @@
 #: seconds to form again.
 _NO_TARGETS_RETRY_MIN_MS: Final = 1000.0
 _NO_TARGETS_RETRY_MAX_MS: Final = 2500.0
+#: Callers return within this multiple of the time until a target is usable, so
+#: that they do not return together.
+_RETURN_SPREAD: Final = 1.5
 #: Interval at which a queued request is rechecked in the absence of events.
 _RECHECK_S: Final = 0.05
 
@@ -259,10 +262,14 @@
         if not usable and self._can_wait_for_avoided(demand, allowed):
             return None
         if not usable:
+            wait_ms = self._ms_until_usable(allowed)
             return self._refuse(
                 'no usable target',
                 demand,
-                retry_ms=(_NO_TARGETS_RETRY_MIN_MS, _NO_TARGETS_RETRY_MAX_MS),
+                retry_ms=(
+                    max(_NO_TARGETS_RETRY_MIN_MS, wait_ms),
+                    max(_NO_TARGETS_RETRY_MAX_MS, _RETURN_SPREAD * wait_ms),
+                ),
             )
         ahead = 1 + sum(
             waiter.demand.priority <= demand.priority
@@ -275,6 +282,16 @@
             return self._refuse('queue too long', demand)
         return None
 
+    def _ms_until_usable(
+        self, avoided: Sequence[targets.TargetRecord]
+    ) -> float:
+        """Returns the time until the first of some targets is usable."""
+        until_ms = min(
+            (self._loads.avoided_until_ms(one.target) for one in avoided),
+            default=0.0,
+        )
+        return max(0.0, until_ms - self._clock.now_ms())
+
     def _can_wait_for_avoided(
         self,
         demand: Demand,
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -17,6 +17,7 @@
     _ports,
     _relay,
     _repeat_budget,
+    _retry_after,
     _stalls,
 )
 
@@ -291,15 +292,8 @@
                 total,
                 valid_ms=_loads.ANSWER_VALID_MS,
             )
-        if answer.is_leaving and not answer.is_other_target:
-            self._registry.note_leaving(place)
         if not answer.is_other_target:
-            self._admission.permits.limits.note_answer(
-                place.target,
-                answer.rate_limits,
-                started_ms=call.started_ms,
-                is_success=answer.head.is_success,
-            )
+            self._note_wishes(call, answer)
         if answer.has_not_run or answer.is_other_target:
             return self._handle_refusal(place, answer)
         if answer.head.is_success and answer.is_event_stream:
@@ -349,6 +343,35 @@
             f'status {answer.head.status}, at fault {at_fault or "itself"}',
         )
 
+    def _note_wishes(
+        self, call: _calls.Call, answer: _ports.TargetAnswer
+    ) -> None:
+        """Records which further requests a target wants."""
+        place = call.place
+        if answer.retry_after is not None:
+            self._note_turned_away(place, answer.retry_after)
+        if answer.is_leaving:
+            self._registry.note_leaving(place)
+        self._admission.permits.limits.note_answer(
+            place.target,
+            answer.rate_limits,
+            started_ms=call.started_ms,
+            is_success=answer.head.is_success,
+        )
+
+    def _note_turned_away(
+        self, place: targets.TargetRecord, retry_after: str
+    ) -> None:
+        pause_ms = _retry_after.read_pause_ms(retry_after)
+        if pause_ms is not None:
+            self._loads.note_turned_away(place.target, pause_ms)
+        self._context.log.write(
+            observability.Event.TARGET_TURNED_AWAY,
+            target=place.target,
+            retry_after=retry_after[: _retry_after.VALUE_MAX_CHARS],
+            pause_ms=pause_ms,
+        )
+
     def _note_failure(
         self,
         place: targets.TargetRecord,
--- a/src/carobslip/forwarding/_loads.py
+++ b/src/carobslip/forwarding/_loads.py
@@ -34,9 +34,15 @@
         self.valid_until_ms = 0.0
         self.failures = 0
         self.avoid_until_ms = 0.0
+        self.turned_away_until_ms = 0.0
         self.service_ms = 0.0
         self.sends_ms: list[float] = []
 
+    @property
+    def unusable_until_ms(self) -> float:
+        """Until when the target gets no new requests."""
+        return max(self.avoid_until_ms, self.turned_away_until_ms)
+
 
 class LoadTracker:
     """Counts requests at targets, from this entry and from load reports.
@@ -108,7 +114,7 @@
         known = self._known.get(target)
         if known is None:
             return False
-        return self._clock.now_ms() < known.avoid_until_ms
+        return self._clock.now_ms() < known.unusable_until_ms
 
     def service_ms_of(self, target: identifiers.TargetId) -> float:
         """Returns the average time of one request; 0 when unknown."""
@@ -188,7 +194,18 @@
     def avoided_until_ms(self, target: identifiers.TargetId) -> float:
         """Returns until when a target is avoided; 0 if it never was."""
         known = self._known.get(target)
-        return 0.0 if known is None else known.avoid_until_ms
+        return 0.0 if known is None else known.unusable_until_ms
+
+    def note_turned_away(
+        self, target: identifiers.TargetId, pause_ms: float
+    ) -> None:
+        """Sends a target nothing for a time that it has named itself.
+
+        Unlike avoidance after failures, nothing else ends it sooner.
+        """
+        known = self._get(target)
+        until_ms = self._clock.now_ms() + pause_ms
+        known.turned_away_until_ms = max(known.turned_away_until_ms, until_ms)
 
     def avoid(self, target: identifiers.TargetId, avoid_ms: float) -> float:
         """Avoids a target for ``avoid_ms`` and returns that time."""
--- a/src/carobslip/forwarding/_ports.py
+++ b/src/carobslip/forwarding/_ports.py
@@ -100,6 +100,8 @@
         load: Load that the target reports; None if it reports none.
         rate_limits: Values that name the requests a second which the target
             takes from all entries together, as received.
+        retry_after: Seconds for which a target that turns the request away wants
+            no further ones, as received; None if it names none.
         is_leaving: The target says that it leaves.
         target_at_fault: The target that caused the failure, if the answering
             one names another.
@@ -111,6 +113,7 @@
     is_event_stream: bool
     load: TargetLoad | None
     rate_limits: tuple[str, ...]
+    retry_after: str | None
     is_leaving: bool
     target_at_fault: identifiers.TargetId | None
 
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -235,6 +235,11 @@
         'Bytes arrived on an idle connection; it was closed, because they '
         'belong to no later request.',
     )
+    TARGET_TURNED_AWAY = (
+        515,
+        'target-turned-away',
+        'A target wants no requests from this process for a while.',
+    )
     TARGET_LIMITED = (
         513,
         'target-limited',
--- a/tests/fakes/crashing_engines.py
+++ b/tests/fakes/crashing_engines.py
@@ -54,6 +54,7 @@
         self.load = None
         self.rate_limits = ()
         self.is_leaving = False
+        self.retry_after = None
         self.target_at_fault = None
         self._world = world
         self._engine = engine
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -39,6 +39,7 @@
         load=None,
         rate_limits=(),
         is_leaving=False,
+        retry_after=None,
         part_pause_s=0.01,
     ):
         self.head = forwarding.AnswerHead(
@@ -54,6 +55,7 @@
         self.load = load
         self.rate_limits = rate_limits
         self.is_leaving = is_leaving
+        self.retry_after = retry_after
         self.target_at_fault = None
 
     async def chunks(self):
