Tell a request that crashes its targets by its content

Change: the crash records of a request carry a digest of its content (method, path, body, parts and sizes of its prompt) as one more part. It counts only from a second crash on, so that sound requests at a crash are repeated as before, and explains crashes before parts that were answered shortly before need to. A request that was at a crash is sent again 250 ms after it, so that its second crash counts as one of its own. Tests: content that crashed two targets is held back and nothing beside it; a deadly part is found as before; four requests of one content under different identifiers reach two targets.

--- a/src/carobslip/crashes/__init__.py
+++ b/src/carobslip/crashes/__init__.py
@@ -1,6 +1,6 @@
 """Parts of prompts that crash targets, and which requests are held back."""
 
-from carobslip.crashes._causes import Cause, find_causes
+from carobslip.crashes._causes import EPISODE_MS, Cause, find_causes
 from carobslip.crashes._gate import Hold, PromptGate
 from carobslip.crashes._ledger import CrashLedger
 from carobslip.crashes._records import (
@@ -8,11 +8,13 @@
     Crash,
     CrashRecord,
     TargetStart,
+    content_part,
     start_of,
 )
 
 __all__ = [
     'CRASHES_MAX',
+    'EPISODE_MS',
     'Cause',
     'Crash',
     'CrashLedger',
@@ -20,6 +22,7 @@
     'Hold',
     'PromptGate',
     'TargetStart',
+    'content_part',
     'find_causes',
     'start_of',
 ]
--- a/src/carobslip/crashes/_causes.py
+++ b/src/carobslip/crashes/_causes.py
@@ -12,7 +12,7 @@
 
 #: Crashes within this time count once: engines that fail together have a cause
 #: of their own, and a part that many requests hold was at several of them.
-_EPISODE_MS: Final = 250.0
+EPISODE_MS: Final = 250.0
 #: Crashes that convict a part. One that was answered shortly before needs more,
 #: since requests with it are at most crashes by chance.
 _EPISODES: Final = 2
@@ -97,7 +97,7 @@
     count = 0
     begun_ms = -math.inf
     for crash in crashes:
-        if crash.known_ms - begun_ms >= _EPISODE_MS:
+        if crash.known_ms - begun_ms >= EPISODE_MS:
             count += 1
             begun_ms = crash.known_ms
     return count
--- a/src/carobslip/crashes/_ledger.py
+++ b/src/carobslip/crashes/_ledger.py
@@ -96,6 +96,11 @@
             for crash in self._crashes.values()
         )
 
+    def age_ms(self, start: _records.TargetStart) -> float | None:
+        """Returns the age of a crash; None if none is known of that start."""
+        crash = self._crashes.get(start)
+        return None if crash is None else self._clock.now_ms() - crash.known_ms
+
     def is_suspect(
         self,
         start: _records.TargetStart,
--- a/src/carobslip/crashes/_records.py
+++ b/src/carobslip/crashes/_records.py
@@ -14,6 +14,8 @@
 #: Fits the longest key of a target with its start.
 _NAME_MAX_CHARS: Final = 256
 
+_CONTENT_PREFIX: Final = 'content='
+
 #: One start of one target.
 TargetStart = NewType('TargetStart', str)
 
@@ -30,6 +32,16 @@
     return TargetStart(f'{record.target}@{record.started_wall_ms}')
 
 
+def content_part(digest: int) -> identifiers.PromptPart:
+    """Returns the part that stands for the whole content of a request."""
+    return identifiers.PromptPart(f'{_CONTENT_PREFIX}{digest:016x}')
+
+
+def is_content(part: identifiers.PromptPart) -> bool:
+    """Tells whether a part stands for the whole content of a request."""
+    return part.startswith(_CONTENT_PREFIX)
+
+
 class CrashRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What a process knows of one crash, as sent to its peers.
 
@@ -74,5 +86,10 @@
         return {part for prompt in self.prompts for part in prompt}
 
     def suspects(self, prompt: Prompt) -> frozenset[identifiers.PromptPart]:
-        """Returns the parts of a prompt that speak against it."""
-        return frozenset(prompt) - self.cleared - self.proven
+        """Returns the parts of a prompt that speak against it.
+
+        The content of a request does so only after a second crash: nearly all
+        requests at a crash are sent for the first time.
+        """
+        named = frozenset(part for part in prompt if not is_content(part))
+        return named - self.cleared - self.proven
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -196,7 +196,7 @@
             pending.may_be_sent_again
             and pending.second_calls < _SECOND_CALLS_MAX
             and not self._crash_watch.gate.find_hold(
-                pending.request.shared_parts
+                pending.request.crash_parts
             )
             and self._budget.can_reserve(pending)
         )
@@ -226,7 +226,7 @@
             fault=outcome.explanation,
             took_ms=round(took_ms),
             list_revision=self._registry.revision,
-            shared_parts=pending.request.shared_parts,
+            crash_parts=pending.request.crash_parts,
             is_suspect=pending.is_suspect,
             **call.progress.fields(self._context.clock.now_ms()),
         )
@@ -277,6 +277,7 @@
     ) -> None:
         if await self._crash_watch.is_suspect(pending.request, place):
             pending.is_suspect = True
+        pending.resend_pause_ms = self._crash_watch.resend_pause_ms(place)
 
     async def _handle_answer(
         self,
--- a/src/carobslip/forwarding/_crash_watch.py
+++ b/src/carobslip/forwarding/_crash_watch.py
@@ -56,15 +56,15 @@
         self, request: _request.ForwardRequest
     ) -> None:
         """Holds a request of a starting process until peers were asked."""
-        if request.shared_parts and not self.is_informed:
+        if request.crash_parts and not self.is_informed:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_START_WAIT_S):
                     await self._is_informed.wait()
 
     def note_answered(self, request: _request.ForwardRequest) -> None:
         """Records that a request was answered whole."""
-        if request.shared_parts:
-            self._ledger.note_answered(request.shared_parts)
+        if request.crash_parts:
+            self._ledger.note_answered(request.crash_parts)
 
     async def is_suspect(
         self,
@@ -77,12 +77,20 @@
             request: A request that was lost before its first event.
             place: The target that lost it.
         """
-        if not request.shared_parts or not await self._has_crashed(place):
+        if not request.crash_parts or not await self._has_crashed(place):
             return False
         start = crashes.start_of(place)
-        self._ledger.note_crash(start, request.shared_parts)
+        self._ledger.note_crash(start, request.crash_parts)
         await self._wait_for_peers()
-        return self._ledger.is_suspect(start, request.shared_parts)
+        return self._ledger.is_suspect(start, request.crash_parts)
+
+    def resend_pause_ms(self, place: targets.TargetRecord) -> float:
+        """Returns how long a request that a target lost is not sent again.
+
+        A second crash by the same request must count as one of its own.
+        """
+        age_ms = self._ledger.age_ms(crashes.start_of(place))
+        return 0.0 if age_ms is None else max(0.0, crashes.EPISODE_MS - age_ms)
 
     async def _has_crashed(self, place: targets.TargetRecord) -> bool:
         """Tells whether a target has ended without having announced it."""
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -270,12 +270,14 @@
             place = await self._take_place(pending)
             if isinstance(place, verdicts.Outcome):
                 return place
-            with self._gate.sending(pending.request.shared_parts):
+            with self._gate.sending(pending.request.crash_parts):
                 outcome = await self._attempts.run(pending, place)
             if outcome.verdict is _Verdict.RAN:
                 return outcome
             if not self._may_try_again(pending):
                 return self._give_up(pending, outcome)
+            await asyncio.sleep(pending.resend_pause_ms / 1000)
+            pending.resend_pause_ms = 0.0
             if pending.unexecuted >= _REJECTIONS_BEFORE_PAUSE:
                 await asyncio.sleep(_REJECTED_PAUSE_S)
                 pending.rejected_by.clear()
@@ -322,7 +324,7 @@
         if pending.begun:
             # A prompt that crashes targets never gets an event.
             return None
-        hold = self._gate.find_hold(pending.request.shared_parts)
+        hold = self._gate.find_hold(pending.request.crash_parts)
         if hold is None:
             return None
         if pending.may_have_run:
--- a/src/carobslip/forwarding/_pending_request.py
+++ b/src/carobslip/forwarding/_pending_request.py
@@ -27,6 +27,7 @@
         lost_at: Targets whose answer was lost.
         rejected_by: Targets that have just rejected it.
         is_suspect: It may have crashed a target.
+        resend_pause_ms: Pause before it is sent again after a crash.
         permits_refused: Slots that it gave up because of a target's rate.
     """
 
@@ -58,6 +59,7 @@
         self.last_call: _ports.CallProgress | None = None
         self.without_place: dict[str, int] = {}
         self.is_suspect = False
+        self.resend_pause_ms = 0.0
         self.permits_refused = 0
         self.first_event_ms: float | None = None
         self.last_event: int | None = None
--- a/src/carobslip/forwarding/_request.py
+++ b/src/carobslip/forwarding/_request.py
@@ -25,6 +25,8 @@
         answer_tokens_max: Limit of generated tokens; 0 if not stated.
         last_event: The event after which the caller resumes a stream.
         shared_parts: The parts of its prompt that other requests may share.
+        content_part: Stands for all that is requested; a caller that repeats the
+            request under another identifier sends the same content.
     """
 
     request_id: identifiers.RequestId
@@ -40,6 +42,14 @@
     answer_tokens_max: int = 0
     last_event: str | None = None
     shared_parts: tuple[identifiers.PromptPart, ...] = ()
+    content_part: identifiers.PromptPart | None = None
+
+    @property
+    def crash_parts(self) -> tuple[identifiers.PromptPart, ...]:
+        """The parts that may tell it from requests that crash no target."""
+        if self.content_part is None:
+            return self.shared_parts
+        return (*self.shared_parts, self.content_part)
 
 
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -1,5 +1,7 @@
 """Which parts of prompts are held responsible for crashes."""
 
+import asyncio
+
 import msgspec
 import pytest
 
@@ -352,3 +354,49 @@
         assert entry.port.calls == []
 
     virtual.run(scenario)
+
+
+CONTENT = crashes.content_part(1)
+OTHER = crashes.content_part(2)
+
+
+def test_content_that_crashed_two_targets_is_held_back_and_nothing_beside_it():
+    process = Process()
+    process.ledger.note_answered(('first',))
+    process.clock.ms = 1000.0
+    process.ledger.note_crash('t1', ('first', CONTENT))
+    assert not process.holds('first', CONTENT)
+    assert not process.ledger.is_suspect('t1', ('first', CONTENT))
+    process.clock.ms = 2000.0
+    process.ledger.note_crash('t2', ('first', CONTENT))
+    assert process.holds('first', CONTENT)
+    assert process.ledger.is_suspect('t2', ('first', CONTENT))
+    assert not process.holds('first', OTHER)
+    assert not process.holds('first')
+
+
+def test_content_of_each_request_does_not_hide_a_deadly_part():
+    process = Process()
+    process.ledger.note_crash('t1', ('d', CONTENT))
+    assert process.holds('d', OTHER)
+    process.clock.ms = 6000.0
+    process.ledger.note_crash('t2', ('d', OTHER))
+    assert process.holds('d', crashes.content_part(3))
+
+
+def test_content_does_not_depend_on_the_identifier_of_a_request():
+    async def scenario():
+        entry = fakes.Entry(['lost'] * 4, held=fakes.table())
+
+        async def is_gone(_record):
+            return True
+
+        entry.port.is_gone = is_gone
+        for number in range(4):
+            await entry.send(
+                '/note/x', request_id=f'r{number}', content_part=CONTENT
+            )
+            await asyncio.sleep(1)
+        assert len(entry.port.calls) == 2
+
+    virtual.run(scenario)
