Read numbers of targets' headers in one place

Cause: the value of Retry-After was read by a copy of what reads Server-Limit, with the same bound; a refusal of a peer's request built its text twice. Change: both headers use one reader; the refusal is built once. Behaviour is the same.

--- a/src/carobslip/control/_node.py
+++ b/src/carobslip/control/_node.py
@@ -193,11 +193,11 @@
         self.traffic.note_received(envelope.message, len(frame))
         try:
             answer, encoded = await self._answer(envelope)
-        except Exception as fault:
+        except Exception as error:
             # A failed request must not stop this process from answering others.
-            self._note_failure(envelope, repr(fault)[:500])
-            answer = _messages.Refused(fault=repr(fault)[:500])
-            encoded = self._wrap(answer)
+            refused = _messages.Refused(fault=repr(error)[:500])
+            self._note_failure(envelope, refused.fault)
+            answer, encoded = refused, self._wrap(refused)
         self.traffic.note_sent(answer, len(encoded))
         return encoded
 
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -13,6 +13,7 @@
     _context,
     _crash_watch,
     _loads,
+    _numbers,
     _pending_request,
     _ports,
     _relay,
@@ -369,7 +370,7 @@
         self._context.log.write(
             observability.Event.TARGET_TURNED_AWAY,
             target=place.target,
-            retry_after=retry_after[: _retry_after.VALUE_MAX_CHARS],
+            retry_after=retry_after[: _numbers.VALUE_MAX_CHARS],
             pause_ms=pause_ms,
         )
 
--- a/src/carobslip/forwarding/_rate_limits.py
+++ b/src/carobslip/forwarding/_rate_limits.py
@@ -1,15 +1,11 @@
 """Rates that targets in need name in their answers."""
 
-import math
 from collections.abc import Iterable
-from typing import Final
 
 import msgspec
 
 from carobslip import clocks, identifiers, observability
-
-#: Longest value that is read and logged; targets send short numbers.
-_VALUE_MAX_CHARS: Final = 32
+from carobslip.forwarding import _numbers
 
 
 class NamedLimit(msgspec.Struct, frozen=True, kw_only=True):
@@ -110,7 +106,7 @@
             observability.Event.TARGET_LIMITED,
             target=target,
             rate_rps=rate_rps,
-            named=[text[:_VALUE_MAX_CHARS] for text in named[:2]],
+            named=[text[: _numbers.VALUE_MAX_CHARS] for text in named[:2]],
             before_rps=None if known is None else known.rate_rps,
             before_age_ms=None if age_ms is None else round(age_ms),
             fault=fault,
@@ -119,18 +115,6 @@
 
 def _read_rate(named: tuple[str, ...]) -> float | None:
     """Returns the lowest rate among some values; None if none is a rate."""
-    rates = [
-        rate
-        for rate in map(_read_number, named)
-        if math.isfinite(rate) and rate >= 0
-    ]
+    amounts = map(_numbers.read_amount, named)
+    rates = [amount for amount in amounts if amount is not None]
     return min(rates, default=None)
-
-
-def _read_number(text: str) -> float:
-    if len(text) > _VALUE_MAX_CHARS:
-        return math.nan
-    try:
-        return float(text)
-    except ValueError:
-        return math.nan
--- a/src/carobslip/forwarding/_retry_after.py
+++ b/src/carobslip/forwarding/_retry_after.py
@@ -1,11 +1,11 @@
 """Reads the time for which a target wants no further requests."""
 
-import math
 from typing import Final
 
+from carobslip.forwarding import _numbers
+
 #: A target that names a longer time is asked again after this one.
 PAUSE_MAX_MS: Final = 3_600_000.0
-VALUE_MAX_CHARS: Final = 32
 
 
 def read_pause_ms(text: str) -> float | None:
@@ -19,12 +19,5 @@
     >>> read_pause_ms('-1'), read_pause_ms('Sat, 05 Dec 2026 13:00:00 GMT')
     (None, None)
     """
-    if len(text) > VALUE_MAX_CHARS:
-        return None
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    if not math.isfinite(seconds) or seconds < 0:
-        return None
-    return min(PAUSE_MAX_MS, 1000 * seconds)
+    seconds = _numbers.read_amount(text)
+    return None if seconds is None else min(PAUSE_MAX_MS, 1000 * seconds)
