--- a/src/carobslip/configuration/_forwarding.py
+++ b/src/carobslip/configuration/_forwarding.py
@@ -1,13 +1,15 @@
 """Routes, teams and engine figures for requests that entries forward."""
 
 import enum
-from typing import Annotated
+from typing import Annotated, Final
 
 import msgspec
 
 from carobslip import identifiers
 
 _NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+#: Objectives up to this multiple of the shortest one count as equal.
+_EQUAL_OBJECTIVES_RATIO: Final = 1.1
 
 
 class RequestKind(enum.Enum):
@@ -166,6 +168,35 @@
     teams: tuple[Team, ...] = ()
     limits: CallerLimits = CallerLimits()
 
+    @property
+    def contended_services(self) -> frozenset[identifiers.ServiceId]:
+        """Services whose streams differ in urgency and share model engines.
+
+        Where all streams of a service are equally urgent, the order in which
+        they get its slots matters less.
+        """
+        return frozenset(
+            service.service
+            for service in self.services
+            if service.engine is not None
+            and self._differs_in_urgency(service.service)
+        )
+
+    def _differs_in_urgency(self, service: identifiers.ServiceId) -> bool:
+        streams = [
+            route
+            for route in self.routes
+            if route.kind is RequestKind.STREAM
+            and any(share.service == service for share in route.services)
+        ]
+        if len({route.priority for route in streams}) > 1:
+            return True
+        objectives_ms = [route.objective_ms for route in streams]
+        shortest_ms = min(objectives_ms, default=0.0)
+        return max(objectives_ms, default=0.0) > (
+            _EQUAL_OBJECTIVES_RATIO * shortest_ms
+        )
+
     def __post_init__(self) -> None:
         known = {service.service for service in self.services}
         for route in self.routes:
--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -14,6 +14,7 @@
     directory,
     expertmap,
     identifiers,
+    slotbroker,
     targets,
 )
 
@@ -22,6 +23,8 @@
 _PACKAGE_MAX_BYTES = 4_194_304
 _DIGESTS_MAX_BYTES = 64
 _RANKS_MAX = 1024
+#: Decisions or released slots in one message.
+_SLOTS_MAX = 256
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_NAME_MAX_CHARS)]
 
@@ -242,6 +245,54 @@
     wait_ms: float = 0.0
 
 
+class AskSlot(_Message, frozen=True, kw_only=True):
+    """Asks the broker of a service for a slot; may be repeated."""
+
+    demand: slotbroker.SlotDemand
+
+
+class SlotAnswer(_Message, frozen=True, kw_only=True):
+    """Answers a request for a slot; one field is set.
+
+    Attributes:
+        granted: The request may start.
+        refused: It must not start.
+        queued: It waits; the decision follows in a ``PushSlot``.
+    """
+
+    granted: slotbroker.SlotGranted | None = None
+    refused: slotbroker.SlotRefused | None = None
+    queued: slotbroker.SlotQueued | None = None
+
+
+class PushSlot(_Message, frozen=True, kw_only=True):
+    """Sends an entry the decisions on its queued requests."""
+
+    granted: Annotated[
+        tuple[slotbroker.SlotGranted, ...],
+        msgspec.Meta(max_length=_SLOTS_MAX),
+    ] = ()
+    refused: Annotated[
+        tuple[slotbroker.SlotRefused, ...],
+        msgspec.Meta(max_length=_SLOTS_MAX),
+    ] = ()
+
+
+class WithdrawSlot(_Message, frozen=True, kw_only=True):
+    """Tells the broker that a request no longer waits for its slot."""
+
+    ticket: Name
+
+
+class ReleaseSlots(_Message, frozen=True, kw_only=True):
+    """Returns slots to the broker."""
+
+    outcomes: Annotated[
+        tuple[slotbroker.SlotOutcome, ...],
+        msgspec.Meta(max_length=_SLOTS_MAX),
+    ]
+
+
 class RankNewsPush(_Message, frozen=True, kw_only=True):
     """Reports the state of a rank to its group's coordinator."""
 
@@ -446,6 +497,11 @@
     | CrashReports
     | AskPermit
     | PermitAnswer
+    | AskSlot
+    | SlotAnswer
+    | PushSlot
+    | WithdrawSlot
+    | ReleaseSlots
     | RankNewsPush
     | OrderRank
     | RankOrdered
--- /dev/null
+++ b/src/carobslip/slotbroker/__init__.py
@@ -0,0 +1,21 @@
+"""Hands out the slots of a service's targets to the requests of all entries."""
+
+from carobslip.slotbroker._types import (
+    EXCLUDED_MAX,
+    SlotDemand,
+    SlotGranted,
+    SlotOutcome,
+    SlotQueued,
+    SlotRefused,
+    SlotResult,
+)
+
+__all__ = [
+    'EXCLUDED_MAX',
+    'SlotDemand',
+    'SlotGranted',
+    'SlotOutcome',
+    'SlotQueued',
+    'SlotRefused',
+    'SlotResult',
+]
