--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -187,6 +187,21 @@
         'prompt-cleared',
         'Parts of a prompt are no longer held responsible for crashes.',
     )
+    TARGET_WATCHED = (
+        450,
+        'target-watched',
+        'A target has started or recovered; its requests grow from few.',
+    )
+    TARGET_LIMIT_REDUCED = (
+        451,
+        'target-limit-reduced',
+        'A watched target failed or was slow and gets fewer requests at once.',
+    )
+    TARGET_WATCH_ENDED = (
+        452,
+        'target-watch-ended',
+        'A watched target may use all of its slots.',
+    )
     TARGET_OUT = (501, 'target-out', 'The target gets no new work.')
     TARGET_IN = (
         502,
--- a/src/carobslip/slotbroker/__init__.py
+++ b/src/carobslip/slotbroker/__init__.py
@@ -1,5 +1,6 @@
 """Hands out the slots of a service's targets to the requests of all entries."""
 
+from carobslip.slotbroker._target_pace import TargetPace
 from carobslip.slotbroker._types import (
     EXCLUDED_MAX,
     SlotDemand,
@@ -18,4 +19,5 @@
     'SlotQueued',
     'SlotRefused',
     'SlotResult',
+    'TargetPace',
 ]
