--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from carobslip import clocks, identifiers, targets
-from carobslip.forwarding import _loads, _permits
+from carobslip.forwarding import _cold_turns, _loads, _permits
 
 #: Window over which requests to a cold target are counted; the bound is stated
 #: per second.
@@ -60,6 +60,9 @@
             the load from other entries.
         may_have_run: A target may have run it, so it can no longer be refused
             as not run; it goes before all others.
+        spreads_cold_rate: An entry whose share of ``cold_rps`` is below one
+            request a second sends in turn with the others, rather than one
+            request a second.
     """
 
     service: identifiers.ServiceId
@@ -70,6 +73,7 @@
     cold_rps: float = 0
     share_min: int = 1
     may_have_run: bool = False
+    spreads_cold_rate: bool = False
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -116,6 +120,8 @@
         permits: Tells which targets take no request because of their rate.
         clock: Monotonic time.
         generator: Spreads the retries of refused callers.
+        position: Returns the index of this entry among those that share the
+            targets; None if it is not known.
     """
 
     def __init__(
@@ -130,6 +136,7 @@
         permits: _permits.PermitGate,
         clock: clocks.Clock,
         generator: random.Random,
+        position: Callable[[], int] | None = None,
     ) -> None:
         self._loads = loads
         self._candidates = candidates
@@ -137,6 +144,9 @@
         self.permits = permits
         self._clock = clock
         self._random = generator
+        self._cold_turns = _cold_turns.ColdTurns(
+            position=position, clock=clock, generator=generator
+        )
         self._order = 0
         self.is_closed = False
         self._waiters: dict[identifiers.ServiceId, list[_Waiter]] = {}
@@ -278,6 +288,8 @@
         until_ms = min(demand.on_time_until_ms, demand.wait_until_ms)
         wait_ms = _PREDICTED_WAIT_SHARE * (until_ms - self._clock.now_ms())
         rate = self._starts_per_ms(usable)
+        if rate is not None:
+            rate = max(rate, self._turns_per_ms(usable, demand))
         if rate is not None and ahead > max(0.0, rate * wait_ms):
             return self._refuse('queue too long', demand)
         return None
@@ -356,7 +368,7 @@
             return 'avoided'
         if self.permits.is_blocked(record.target):
             return 'limited'
-        if not self._is_within_cold_rate(record, demand.cold_rps):
+        if not self._is_within_cold_rate(record, demand):
             return 'cold'
         return None
 
@@ -388,13 +400,33 @@
     def _is_within_cold_rate(
         self,
         record: targets.TargetRecord,
-        cold_rps: float,
+        demand: Demand,
     ) -> bool:
-        if cold_rps <= 0:
+        if demand.cold_rps <= 0:
             return True
-        share = _COLD_USED_SHARE * cold_rps / max(1, self._entries())
+        entries = max(1, self._entries())
+        used_rps = _COLD_USED_SHARE * demand.cold_rps
+        if demand.spreads_cold_rate and used_rps < entries:
+            turn_ms = _COLD_WINDOW_MS / used_rps
+            return self._cold_turns.is_open(
+                record.target, turn_ms=turn_ms, entries=entries
+            ) and not self._loads.sends_within(record.target, turn_ms)
         sent = self._loads.sends_within(record.target, _COLD_WINDOW_MS)
-        return sent < max(1, int(share))
+        return sent < max(1, int(used_rps / entries))
+
+    def _turns_per_ms(
+        self,
+        usable: Sequence[targets.TargetRecord],
+        demand: Demand,
+    ) -> float:
+        """Returns the rate at which this entry gets turns at free targets."""
+        if not demand.spreads_cold_rate:
+            return 0.0
+        free = sum(
+            self._has_free_slot(record, demand.share_min) for record in usable
+        )
+        used_rps = _COLD_USED_SHARE * demand.cold_rps
+        return free * used_rps / max(1, self._entries()) / _COLD_WINDOW_MS
 
     def _start(self, record: targets.TargetRecord) -> targets.TargetRecord:
         self._loads.note_start(record.target)
--- a/src/carobslip/forwarding/_context.py
+++ b/src/carobslip/forwarding/_context.py
@@ -31,10 +31,13 @@
         entries: Returns how many entries are alive.
         is_current: Returns False while the state of this process may be stale
             after a pause.
+        position: Returns the index of this entry in the order of the names of
+            those that are alive; None if it is not known.
     """
 
     entries: Callable[[], int]
     is_current: Callable[[], bool]
+    position: Callable[[], int] | None = None
 
 
 class SharedLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -108,6 +108,7 @@
             permits=shared.permits,
             clock=context.clock,
             generator=context.generator,
+            position=fleet.position,
         )
         self._attempts = _attempts.Attempts(
             registry=registry,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Admission when there are more requests than the targets have slots."""
 
 import asyncio
+import functools
 import random
 
 import pytest
@@ -15,7 +16,9 @@
 class Load:
     """An admission in front of targets with a given mean service time."""
 
-    def __init__(self, *, targets=4, slots=3, service_s=0.5, entries=1):
+    def __init__(
+        self, *, targets=4, slots=3, service_s=0.5, entries=1, position=None
+    ):
         self.clock = clocks.LoopClock(epoch_ms=0)
         self.records = [
             fakes.record(f't{number}', SERVICE, slots=slots)
@@ -35,6 +38,7 @@
             permits=fakes.unlimited(self.clock),
             clock=self.clock,
             generator=random.Random(2),
+            position=position,
         )
         self.generator = random.Random(5)
         self.started = []
@@ -221,6 +225,90 @@
     virtual.run(scenario)
 
 
+async def send_to_cold_target(entries, *, bound_rps, seconds, **changes):
+    """Returns when entries sent to a cold target that all want to use."""
+    loads = [
+        Load(
+            targets=1,
+            slots=100,
+            entries=entries,
+            position=functools.partial(int, position),
+        )
+        for position in range(entries)
+    ]
+    moments = []
+    for _step in range(100 * seconds):
+        for load in loads:
+            demand = load.demand(wait_ms=0, cold_rps=bound_rps, **changes)
+            place = load.admission.take(demand)
+            if place is not None:
+                moments.append(load.clock.now_ms())
+                load.admission.release(place)
+        await asyncio.sleep(0.01)
+    return moments
+
+
+def most_in_a_second(moments):
+    return max(
+        sum(0 <= one - first < 1000 for one in moments) for first in moments
+    )
+
+
+# Each of 98 entries sent one request a second to a target that may get 26.
+@pytest.mark.parametrize('bound_rps', [2.0, 26.0])
+@pytest.mark.parametrize('entries', [7, 38, 98])
+def test_no_entry_rounds_its_share_of_a_cold_rate_up(entries, bound_rps):
+    async def scenario():
+        before = await send_to_cold_target(
+            entries, bound_rps=bound_rps, seconds=2
+        )
+        sent = await send_to_cold_target(
+            entries, bound_rps=bound_rps, seconds=12, spreads_cold_rate=True
+        )
+        if entries > bound_rps:
+            assert most_in_a_second(before) >= entries
+        assert most_in_a_second(sent) <= bound_rps
+        assert len(sent) >= 0.5 * bound_rps * 12
+
+    virtual.run(scenario)
+
+
+@pytest.mark.parametrize('bound_rps', [5.0, 26.0])
+def test_lone_entry_is_served_as_before_with_spread_cold_rates(bound_rps):
+    async def scenario():
+        load = {'bound_rps': bound_rps, 'seconds': 4}
+        before = await send_to_cold_target(1, **load)
+        sent = await send_to_cold_target(1, spreads_cold_rate=True, **load)
+        assert len(sent) == len(before)
+
+    virtual.run(scenario)
+
+
+# Free slots do not end any request, so the rate of ends says nothing of turns.
+@pytest.mark.parametrize(('entries', 'rate_rps'), [(38, 3.2), (98, 1.5)])
+def test_requests_that_wait_for_a_turn_are_not_refused(entries, rate_rps):
+    async def scenario():
+        load = Load(
+            targets=64,
+            slots=5,
+            service_s=2.0,
+            entries=entries,
+            position=lambda: 3,
+        )
+        sends = []
+        for _request in range(int(rate_rps * 20)):
+            changes = {'cold_rps': 26.0, 'spreads_cold_rate': True}
+            sent = load.send(on_time_ms=300.0, **changes)
+            sends.append(asyncio.ensure_future(sent))
+            await asyncio.sleep(load.generator.expovariate(rate_rps))
+        await asyncio.gather(*sends)
+        assert not load.refused
+        on_time = [one for one in load.started if one[1] <= 300]
+        assert len(on_time) >= 0.9 * len(load.started)
+
+    virtual.run(scenario)
+
+
 def test_failed_target_is_avoided_until_its_backoff_ends():
     async def scenario():
         load = Load(targets=2, slots=3)
