--- a/src/carobslip/cli/_application.py
+++ b/src/carobslip/cli/_application.py
@@ -2,6 +2,7 @@
 
 Exit codes: 0 done, 1 a document or setting was refused, 2 wrong usage,
 3 an instance could not be queried, 4 the instance does not know the request.
+``check`` has its own: 0 nothing was found, 1 warnings, 2 errors.
 """
 
 import pathlib
@@ -10,8 +11,8 @@
 import typer
 
 import carobslip
-from carobslip import observability
-from carobslip.cli import _burn, _documents, _queries
+from carobslip import clocks, observability
+from carobslip.cli import _burn, _check, _documents, _queries
 
 application = typer.Typer(
     name='carobslip',
@@ -68,17 +69,22 @@
         pathlib.Path,
         typer.Argument(help='Settings or configuration file.'),
     ],
-    previous: Annotated[
+    against: Annotated[
         pathlib.Path | None,
-        typer.Option(help='The configuration that is in force now.'),
+        typer.Option(
+            '--against',
+            '--previous',
+            help='The configuration that is in force now.',
+        ),
     ] = None,
+    json: JsonOption = False,
 ) -> None:
-    """Check a settings or configuration file before it is used."""
-    fault = _documents.find_fault(file, previous)
-    if fault is not None:
-        typer.echo(fault, err=True)
-        raise typer.Exit(_documents.REFUSED)
-    typer.echo(f'{file}: accepted')
+    """Check a file before it is used, and show what it changes.
+
+    Exit codes: 0 nothing was found, 1 warnings, 2 errors.
+    """
+    clock = clocks.SystemClock()
+    _check.show(_check.check_file(file, against, clock), as_json=json)
 
 
 @application.command()
--- a/src/carobslip/configuration/__init__.py
+++ b/src/carobslip/configuration/__init__.py
@@ -19,6 +19,7 @@
     WeightedService,
 )
 from carobslip.configuration._holder import Adoption, Holder
+from carobslip.configuration._locator import find_line
 from carobslip.configuration._order import DocumentOrder
 from carobslip.configuration._package import (
     MalformedPackage,
@@ -65,6 +66,7 @@
     'Team',
     'WeightedService',
     'Withdrawal',
+    'find_line',
     'find_step_fault',
     'pack',
     'read_configuration',
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -51,7 +51,7 @@
     file = tmp_path / 'settings.json5'
     file.write_text(text)
     result = CliRunner().invoke(cli.application, ['check', str(file)])
-    assert result.exit_code == 1
+    assert result.exit_code == 2
     assert expected in result.output
     assert str(file) in result.output
 
@@ -61,7 +61,7 @@
     before = tmp_path / 'before.json5'
     before.write_text(text)
     later = text.replace('"version": 1', '"version": 2')
-    cases = {'"desk-1", "desk-2"': 0, '"desk-1", "desk-4", "desk-5"': 1}
+    cases = {'"desk-1", "desk-2"': 0, '"desk-1", "desk-4", "desk-5"': 2}
     for members, code in cases.items():
         after = tmp_path / 'after.json5'
         after.write_text(later.replace('"desk-1", "desk-2", "desk-3"', members))
