--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -187,6 +187,33 @@
         'prompt-cleared',
         'Parts of a prompt are no longer held responsible for crashes.',
     )
+    SLOT_GRANTED = (
+        430,
+        'slot-granted',
+        'A broker assigned a slot to a request that had waited.',
+    )
+    SLOT_REFUSED = (
+        431,
+        'slot-refused',
+        'A broker refused a request, which has not run.',
+    )
+    SLOT_LEASE_ENDED = (
+        432,
+        'slot-lease-ended',
+        'A broker ended a lease without a release, because its time had passed '
+        'or its entry was gone.',
+    )
+    SLOT_TARGET_AVOIDED = (
+        433,
+        'slot-target-avoided',
+        'A broker assigns no slots of a target for a while.',
+    )
+    SLOT_CLASSES_HELD_BACK = (
+        434,
+        'slot-classes-held-back',
+        'Other classes than before are ordered behind late requests of more '
+        'urgent ones, because they were served better.',
+    )
     TARGET_OUT = (501, 'target-out', 'The target gets no new work.')
     TARGET_IN = (
         502,
--- a/src/carobslip/slotbroker/__init__.py
+++ b/src/carobslip/slotbroker/__init__.py
@@ -1,5 +1,7 @@
 """Hands out the slots of a service's targets to the requests of all entries."""
 
+from carobslip.slotbroker._broker import SlotBroker
+from carobslip.slotbroker._ports import TargetPacing
 from carobslip.slotbroker._types import (
     EXCLUDED_MAX,
     SlotDemand,
@@ -12,10 +14,12 @@
 
 __all__ = [
     'EXCLUDED_MAX',
+    'SlotBroker',
     'SlotDemand',
     'SlotGranted',
     'SlotOutcome',
     'SlotQueued',
     'SlotRefused',
     'SlotResult',
+    'TargetPacing',
 ]
--- /dev/null
+++ b/src/carobslip/slotbroker/_service.py
@@ -0,0 +1,140 @@
+"""The queue of one service, with what its requests showed."""
+
+import msgspec
+
+from carobslip import targets
+from carobslip.slotbroker import (
+    _classes,
+    _cost,
+    _queue,
+    _types,
+    _waits,
+)
+
+
+class Outlook(msgspec.Struct, frozen=True, kw_only=True):
+    """When slots are expected to become free.
+
+    Attributes:
+        rate: Slots that become free, per millisecond.
+        blocked_ms: Time until the first target is usable.
+        now_ms: Time of the forecast.
+    """
+
+    rate: float
+    blocked_ms: float
+    now_ms: float
+
+
+class ServiceState:
+    """Requests that wait for one service, and forecasts for them."""
+
+    def __init__(self) -> None:
+        self.queue = _queue.ServiceQueue(self._is_ordered_on_time)
+        self.times = _waits.ServiceTimes()
+        self.costs = _cost.CostModel()
+        self.classes = _classes.ClassRecords()
+        self.reviewed_ms = float('-inf')
+        self._now_ms = 0.0
+
+    def outlook(
+        self,
+        candidates: list[targets.TargetRecord],
+        blocked_ms: float,
+        now_ms: float,
+    ) -> Outlook:
+        """Returns when slots of some targets are expected to become free."""
+        slots = sum(record.slots for record in candidates)
+        return Outlook(
+            rate=self.times.rate_per_ms(slots, now_ms),
+            blocked_ms=blocked_ms,
+            now_ms=now_ms,
+        )
+
+    def set_time(self, now_ms: float) -> None:
+        """Sets the time that the order refers to."""
+        self._now_ms = now_ms
+
+    def can_be_on_time(self, waiter: _queue.Waiter) -> bool:
+        """Tells whether a request that starts now meets its objective."""
+        first_ms = self.times.first_event_ms(waiter.demand.on_time_left_ms)
+        return self._now_ms + first_ms <= waiter.on_time_until_ms
+
+    def forecast_ms(
+        self,
+        waiter: _queue.Waiter,
+        outlook: Outlook,
+        *,
+        ahead: int,
+        ahead_in_class: int,
+    ) -> float:
+        """Returns the expected wait of a request.
+
+        Args:
+            waiter: The request.
+            outlook: When slots become free.
+            ahead: Requests that go before it.
+            ahead_in_class: Those of its own priority.
+        """
+        below = float('inf') if waiter.is_late else waiter.priority
+        arrivals = self.times.arrivals_per_ms(below, outlook.now_ms)
+        wait_ms = _waits.wait_ms(ahead, outlook.rate, arrivals)
+        if waiter.priority == self._floor_class():
+            floor_rate = outlook.rate / _classes.GRANTS_PER_FLOOR
+            wait_ms = min(wait_ms, (ahead_in_class + 1) / floor_rate)
+        return outlook.blocked_ms + wait_ms
+
+    def next_waiter(self, pending: list[_queue.Waiter]) -> _queue.Waiter:
+        """Removes and returns the request that is to start next.
+
+        Args:
+            pending: Waiting requests in their order.
+        """
+        due = self.classes.due_class(self.queue.priorities())
+        index = 0
+        if due is not None and not pending[0].demand.may_have_run:
+            index = next(
+                (
+                    place
+                    for place, waiter in enumerate(pending)
+                    if waiter.priority == due
+                ),
+                0,
+            )
+        return pending.pop(index)
+
+    def note_decision(
+        self, waiter: _queue.Waiter, *, is_served: bool, now_ms: float
+    ) -> None:
+        """Counts a decision for its class."""
+        self.set_time(now_ms)
+        self.classes.note(
+            waiter.priority,
+            is_served=is_served,
+            is_on_time=is_served and self.can_be_on_time(waiter),
+            now_ms=now_ms,
+        )
+        if is_served:
+            self.classes.note_grant(waiter.priority, self.queue.priorities())
+
+    def note_outcome(
+        self,
+        waiter: _queue.Waiter,
+        outcome: _types.SlotOutcome,
+        now_ms: float,
+    ) -> None:
+        """Learns from the end of a request and charges its team."""
+        cost = self.costs.observe(waiter.demand, outcome)
+        waiter.account.finish += cost - waiter.cost
+        if outcome.first_event_ms is not None:
+            self.times.note_first_event(outcome.first_event_ms, now_ms)
+        if outcome.events or outcome.result is _types.SlotResult.SERVED:
+            self.times.note_release(outcome.took_ms, now_ms)
+
+    def _is_ordered_on_time(self, waiter: _queue.Waiter) -> bool:
+        if waiter.priority in self.classes.held_back:
+            return False
+        return self.can_be_on_time(waiter)
+
+    def _floor_class(self) -> int | None:
+        return self.classes.floor_class(self.queue.priorities())
