--- a/src/carobslip/slotbroker/_classes.py
+++ b/src/carobslip/slotbroker/_classes.py
@@ -5,11 +5,11 @@
 from typing import Final
 
 #: Time constant over which decisions are forgotten.
-_FORGET_MS: Final = 20_000.0
+_FORGET_MS: Final = 30_000.0
 #: Decisions from which a ratio is compared.
 _DECIDED_MIN: Final = 5.0
 #: Difference of ratios that is put down to chance.
-_MARGIN: Final = 0.02
+_MARGIN: Final = 0.002
 #: Grants after which one goes to the class that is served least.
 GRANTS_PER_FLOOR: Final = 8
 #: Part of the ratio of the most urgent class below which a class gets the
@@ -57,11 +57,26 @@
         self.held_back: frozenset[int] = frozenset()
 
     def note(
-        self, priority: int, *, is_served: bool, is_on_time: bool, now_ms: float
+        self,
+        priority: int,
+        *,
+        is_new: bool,
+        is_served: bool,
+        is_on_time: bool,
+        now_ms: float,
     ) -> None:
-        """Counts a decision."""
+        """Counts a decision.
+
+        Args:
+            priority: The class.
+            is_new: The caller was not refused before; callers count once,
+                however often they return.
+            is_served: The request starts.
+            is_on_time: It is expected to be on time.
+            now_ms: The present time.
+        """
         record = self._records.setdefault(priority, _ClassRecord())
-        record.decided += 1.0
+        record.decided += is_new
         record.served += is_served
         record.on_time += is_on_time
         self._fade(now_ms)
@@ -69,6 +84,12 @@
             one for one in self._records if self._is_ahead(one)
         )
 
+    def correct(self, priority: int, *, on_time: int) -> None:
+        """Adds to the requests that were on time, if a forecast was wrong."""
+        record = self._records.get(priority)
+        if record is not None:
+            record.on_time = max(0.0, record.on_time + on_time)
+
     def note_grant(self, priority: int, waiting: Iterable[int]) -> None:
         """Counts a grant for the guaranteed share.
 
@@ -76,8 +97,7 @@
             priority: The class that got it.
             waiting: The classes that still wait.
         """
-        floor = self.floor_class(waiting)
-        if floor is None or priority == floor:
+        if priority == self.floor_class(waiting):
             self._since_floor = 0
         else:
             self._since_floor += 1
@@ -86,12 +106,16 @@
         """Returns the class that is due the guaranteed grants, if any.
 
         It is the one that is served least of those that wait behind a more
-        urgent class.
+        urgent class and are not held back.
         """
         classes = sorted(waiting)
-        if len(classes) < 2:
+        ratios = [
+            (self._served_ratio(one), one)
+            for one in classes
+            if one not in self.held_back
+        ]
+        if len(classes) < 2 or not ratios:
             return None
-        ratios = [(self._served_ratio(one), one) for one in classes]
         least, priority = min(ratios)
         usual = max(self._served_ratio(one) for one in range(priority + 1))
         if priority == classes[0] or least >= _FLOOR_RATIO * usual:
--- a/src/carobslip/slotbroker/_queue.py
+++ b/src/carobslip/slotbroker/_queue.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from carobslip.slotbroker import _shares, _types
+from carobslip.slotbroker import _returns, _shares, _types
 
 #: Work, in multiples of the request's own cost, by which a team may exceed its
 #: share before its returning callers lose their precedence over new requests
@@ -28,11 +28,13 @@
 
     Attributes:
         demand: What it asked for.
+        priority: 0 is the most urgent.
         order: Its number in the order of arrival.
         cost: Its expected cost in tokens.
-        is_returning: It was refused before and returns as told.
+        how_returned: Whether it was refused before and returns as told.
         account: The account of its team.
         wait_ms: Expected wait, for its entry.
+        is_on_time: It started, and was expected to be on time.
         key: Its place in the scheduling order.
     """
 
@@ -43,23 +45,25 @@
         now_ms: float,
         order: int,
         cost: float,
-        is_returning: bool,
+        how_returned: _returns.Return,
     ) -> None:
         self.demand = demand
+        self.priority = min(max(0, demand.priority), _PRIORITY_MAX)
         self.order = order
         self.cost = cost
-        self.is_returning = is_returning
+        self.how_returned = how_returned
         self.arrived_ms = now_ms
         self.wait_until_ms = now_ms + demand.wait_left_ms
         self.patience_until_ms = now_ms + demand.patience_left_ms
         self.account = _shares.TeamAccount()
         self.wait_ms = 0.0
+        self.is_on_time = False
         self.key: Key = (0, 0, 0, 0.0, order)
 
     @property
-    def priority(self) -> int:
-        """Priority; 0 is the most urgent."""
-        return min(max(0, self.demand.priority), _PRIORITY_MAX)
+    def is_returning(self) -> bool:
+        """Tells whether it was refused before and returns as told."""
+        return self.how_returned is _returns.Return.AS_TOLD
 
     @property
     def on_time_until_ms(self) -> float:
@@ -83,7 +87,7 @@
     def __init__(self, is_on_time: Callable[[Waiter], bool]) -> None:
         self._is_on_time = is_on_time
         self._waiters: dict[str, Waiter] = {}
-        self._keys: list[Key] = []
+        self._order: list[tuple[Key, Waiter]] = []
         self._shares: dict[int, _shares.TeamShares] = {}
         self._by_priority: collections.Counter[int] = collections.Counter()
 
@@ -105,8 +109,11 @@
         return sorted(+self._by_priority)
 
     def waiters(self) -> list[Waiter]:
-        """Returns the requests in the order of their arrival."""
-        return list(self._waiters.values())
+        """Returns the requests in the order in which they are to start.
+
+        The order is that of the last refresh, with later requests inserted.
+        """
+        return [waiter for _, waiter in self._order]
 
     def open_account(self, waiter: Waiter) -> None:
         """Assigns the account of its team to a request."""
@@ -120,8 +127,8 @@
         self._by_priority[waiter.priority] += 1
         waiter.key = self._key(waiter, self._band(waiter), start)
         self._waiters[waiter.demand.ticket] = waiter
-        position = bisect.bisect_left(self._keys, waiter.key)
-        self._keys.insert(position, waiter.key)
+        position = self._position(waiter)
+        self._order.insert(position, (waiter.key, waiter))
         return position
 
     def remove(self, ticket: str) -> Waiter | None:
@@ -131,9 +138,7 @@
             return None
         self._share(waiter).note_left(waiter.account, waiter.cost)
         self._by_priority[waiter.priority] -= 1
-        position = bisect.bisect_left(self._keys, waiter.key)
-        if position < len(self._keys) and self._keys[position] == waiter.key:
-            self._keys.pop(position)
+        self._order.pop(self._position(waiter))
         return waiter
 
     def find(self, ticket: str) -> Waiter | None:
@@ -144,8 +149,8 @@
         """Adds the cost of a request that starts to its team's work."""
         self._share(waiter).charge(waiter.account, waiter.cost)
 
-    def ordered(self) -> list[Waiter]:
-        """Returns the requests in the order in which they are to start."""
+    def refresh(self) -> None:
+        """Orders the requests by the present time and work of their teams."""
         banded = sorted(
             (self._band(one), not one.is_returning, one.order, one)
             for one in self._waiters.values()
@@ -158,9 +163,11 @@
                 start = self._share(waiter).start_of(account)
             waiter.key = self._key(waiter, band, start)
             starts[id(account)] = start + waiter.cost
-        waiters = sorted(self._waiters.values(), key=lambda one: one.key)
-        self._keys = [one.key for one in waiters]
-        return waiters
+        self._order = [(one.key, one) for one in self._waiters.values()]
+        self._order.sort(key=_key_of)
+
+    def _position(self, waiter: Waiter) -> int:
+        return bisect.bisect_left(self._order, waiter.key, key=_key_of)
 
     def _band(self, waiter: Waiter) -> int:
         if waiter.demand.may_have_run:
@@ -180,3 +187,7 @@
             share = _shares.TeamShares()
             self._shares[waiter.priority] = share
         return share
+
+
+def _key_of(placed: tuple[Key, Waiter]) -> Key:
+    return placed[0]
--- a/src/carobslip/slotbroker/_returns.py
+++ b/src/carobslip/slotbroker/_returns.py
@@ -1,6 +1,7 @@
 """Remembers who was refused and when each caller may return."""
 
 import collections
+import enum
 from typing import Final
 
 import msgspec
@@ -13,11 +14,19 @@
 #: timers of callers are not exact.
 _DELAY_SHARE: Final = 0.9
 #: Interval at which the callers that are still to return are counted.
-_COUNT_INTERVAL_MS: Final = 50.0
+_COUNT_INTERVAL_MS: Final = 200.0
 
 _Caller = tuple[identifiers.ServiceId, int]
 
 
+class Return(enum.Enum):
+    """Whether a request was refused before, and how it returns."""
+
+    NEW = 'new'
+    AS_TOLD = 'as-told'
+    TOO_SOON = 'too-soon'
+
+
 class _Refusal(msgspec.Struct, frozen=True):
     refused_ms: float
     returns_ms: float
@@ -62,16 +71,17 @@
 
     def take(
         self, service: identifiers.ServiceId, digest: int, now_ms: float
-    ) -> bool:
-        """Tells whether a request returns as told, and forgets its refusal.
+    ) -> Return:
+        """Tells how a request returns, and forgets its refusal.
 
         The refusal is forgotten also if the request returns too soon, so that
         a caller gains nothing by sending copies.
         """
         refusal = self._refusals.pop((service, digest), None)
         if refusal is None or now_ms - refusal.refused_ms > _REMEMBERED_MS:
-            return False
-        return now_ms >= refusal.returns_ms
+            return Return.NEW
+        is_as_told = now_ms >= refusal.returns_ms
+        return Return.AS_TOLD if is_as_told else Return.TOO_SOON
 
     def expected(
         self, service: identifiers.ServiceId, priority: int, now_ms: float
--- a/src/carobslip/slotbroker/_service.py
+++ b/src/carobslip/slotbroker/_service.py
@@ -1,16 +1,25 @@
 """The queue of one service, with what its requests showed."""
 
+from collections.abc import Sequence
+from typing import Final
+
 import msgspec
 
 from carobslip import targets
 from carobslip.slotbroker import (
     _classes,
     _cost,
+    _leases,
     _queue,
+    _returns,
     _types,
     _waits,
 )
 
+#: Slots per millisecond that are expected while no target is listed: nothing
+#: is known, so that no queued request is refused for it.
+_RATE_WITHOUT_TARGETS: Final = 1.0
+
 
 class Outlook(msgspec.Struct, frozen=True, kw_only=True):
     """When slots are expected to become free.
@@ -35,21 +44,32 @@
         self.costs = _cost.CostModel()
         self.classes = _classes.ClassRecords()
         self.reviewed_ms = float('-inf')
+        self.last_outlook: Outlook | None = None
         self._now_ms = 0.0
 
-    def outlook(
+    def look_out(
         self,
-        candidates: list[targets.TargetRecord],
-        blocked_ms: float,
+        candidates: Sequence[targets.TargetRecord],
+        usable_from_ms: float,
         now_ms: float,
     ) -> Outlook:
-        """Returns when slots of some targets are expected to become free."""
+        """Stores and returns when slots are expected to become free.
+
+        Args:
+            candidates: The targets that are counted on.
+            usable_from_ms: When the first of them can be used.
+            now_ms: The present time.
+        """
         slots = sum(record.slots for record in candidates)
-        return Outlook(
-            rate=self.times.rate_per_ms(slots, now_ms),
-            blocked_ms=blocked_ms,
+        rate = _RATE_WITHOUT_TARGETS
+        if candidates:
+            rate = self.times.rate_per_ms(slots, now_ms)
+        self.last_outlook = Outlook(
+            rate=rate,
+            blocked_ms=max(0.0, usable_from_ms - now_ms),
             now_ms=now_ms,
         )
+        return self.last_outlook
 
     def set_time(self, now_ms: float) -> None:
         """Sets the time that the order refers to."""
@@ -108,26 +128,36 @@
     ) -> None:
         """Counts a decision for its class."""
         self.set_time(now_ms)
+        waiter.is_on_time = is_served and self.can_be_on_time(waiter)
         self.classes.note(
             waiter.priority,
+            is_new=waiter.how_returned is _returns.Return.NEW,
             is_served=is_served,
-            is_on_time=is_served and self.can_be_on_time(waiter),
+            is_on_time=waiter.is_on_time,
             now_ms=now_ms,
         )
         if is_served:
-            self.classes.note_grant(waiter.priority, self.queue.priorities())
+            waiting = {waiter.priority, *self.queue.priorities()}
+            self.classes.note_grant(waiter.priority, waiting)
 
     def note_outcome(
         self,
-        waiter: _queue.Waiter,
+        lease: _leases.Lease,
         outcome: _types.SlotOutcome,
         now_ms: float,
     ) -> None:
         """Learns from the end of a request and charges its team."""
+        waiter = lease.waiter
         cost = self.costs.observe(waiter.demand, outcome)
         waiter.account.finish += cost - waiter.cost
+        is_on_time = False
         if outcome.first_event_ms is not None:
+            event_ms = lease.started_ms + outcome.first_event_ms
+            is_on_time = event_ms <= waiter.on_time_until_ms
             self.times.note_first_event(outcome.first_event_ms, now_ms)
+        self.classes.correct(
+            waiter.priority, on_time=is_on_time - waiter.is_on_time
+        )
         if outcome.events or outcome.result is _types.SlotResult.SERVED:
             self.times.note_release(outcome.took_ms, now_ms)
 
--- a/src/carobslip/slotbroker/_waits.py
+++ b/src/carobslip/slotbroker/_waits.py
@@ -57,9 +57,10 @@
         self._first_events: collections.deque[_Timed] = collections.deque(
             maxlen=_KEPT_MAX
         )
-        self._arrivals: collections.deque[_Timed] = collections.deque(
-            maxlen=_KEPT_MAX
+        self._arrivals: collections.deque[tuple[float, int]] = (
+            collections.deque()
         )
+        self._arrived: collections.Counter[int] = collections.Counter()
         self._measured_from_ms = 0.0
         self._released_ms = float('-inf')
         self._first_event_ms: float | None = None
@@ -106,7 +107,10 @@
 
     def note_arrival(self, priority: int, now_ms: float) -> None:
         """Notes a request that was accepted and can be on time."""
+        if len(self._arrivals) == _KEPT_MAX:
+            self._drop_arrival()
         self._arrivals.append((now_ms, priority))
+        self._arrived[priority] += 1
 
     def arrivals_per_ms(self, below: float, now_ms: float) -> float:
         """Returns the rate of accepted requests that can be on time.
@@ -116,10 +120,12 @@
             now_ms: The present time.
         """
         while self._arrivals and now_ms - self._arrivals[0][0] > _WINDOW_MS:
-            self._arrivals.popleft()
-        if not self._arrivals:
-            return 0.0
-        count = sum(priority < below for _, priority in self._arrivals)
+            self._drop_arrival()
+        count = sum(
+            amount
+            for priority, amount in self._arrived.items()
+            if priority < below
+        )
         return count / _WINDOW_MS
 
     def rate_per_ms(self, slots: int, now_ms: float) -> float:
@@ -145,6 +151,10 @@
             _RATE_SHARE_MIN * usual, min(_RATE_SHARE_MAX * usual, measured)
         )
 
+    def _drop_arrival(self) -> None:
+        _, priority = self._arrivals.popleft()
+        self._arrived[priority] -= 1
+
 
 def wait_ms(ahead: int, rate: float, arrivals: float) -> float:
     """Returns the expected wait of a request.
--- a/tests/fakes/slot_load.py
+++ b/tests/fakes/slot_load.py
@@ -1,12 +1,10 @@
 """Demand for the slots of 64 targets in virtual time, and simple policies."""
 
-import collections
 import heapq
 import itertools
-import math
 import random
 
-from carobslip import slotbroker, targets
+from carobslip import slotbroker
 
 OBJECTIVES_MS = (400.0, 400.0, 800.0)
 RATES = (55.0, 41.8, 24.2)
@@ -33,6 +31,7 @@
             random.Random(seed),
             1000 * seconds,
         )
+        self.callers_random = random.Random(seed + 1)
         self.entries, self.teams = entries, [1 / (1 + n) for n in range(teams)]
         self.rate = lambda priority, now_ms: RATES[priority]
         self.team_rate = lambda team, now_ms: 1.0
@@ -68,7 +67,7 @@
         if now > self.end_ms:
             return
         self.at(
-            now + self.random.expovariate(1) * 1000 / self.rate(priority, now),
+            now + self.callers_random.expovariate(1) * 1000 / self.rate(priority, now),
             self._arrive,
             priority,
         )
@@ -76,11 +75,11 @@
             one * self.team_rate(team, now)
             for team, one in enumerate(self.teams)
         ]
-        team = self.random.choices(range(len(weights)), weights)[0]
+        team = self.callers_random.choices(range(len(weights)), weights)[0]
         events = max(
             1,
             round(
-                MEAN_EVENTS * self.random.lognormvariate(-(SIGMA**2) / 2, SIGMA)
+                MEAN_EVENTS * self.callers_random.lognormvariate(-(SIGMA**2) / 2, SIGMA)
             ),
         )
         caller = {
@@ -89,9 +88,9 @@
             'events': events,
             'arrived': now,
             'outcome': 'refused',
-            'tries': 0,
+            'tries': 0, 'first': self.callers_random.uniform(0, 100),
             'digest': len(self.callers) + 1,
-            'entry': self.random.randrange(self.entries),
+            'entry': self.callers_random.randrange(self.entries),
         }
         self.callers.append(caller)
         self._ask(caller)
@@ -145,8 +144,8 @@
 
     def _start(self, caller, granted):
         now, half = self.clock.now, int(granted.target[2:]) % 2
-        first = self.random.uniform(80, 180)
-        held = first + 2000 / MEAN_EVENTS * caller['events'] - 87
+        first = 80 + caller['first']
+        held = first + 2000 / MEAN_EVENTS * (caller['events'] - 1)
         for start, end in (one[1:] for one in self.stalls if one[0] == half):
             first += max(0, end - max(now, start)) if now + first > start else 0
             held += max(0, end - max(now, start)) if now + held > start else 0
