--- a/src/carobslip/slotbroker/_health.py
+++ b/src/carobslip/slotbroker/_health.py
@@ -48,7 +48,7 @@
     def __init__(self) -> None:
         self._known: dict[identifiers.TargetId, _TargetHealth] = {}
         self._median_ms = 0.0
-        self._median_at_ms = 0.0
+        self._median_at_ms = float('-inf')
 
     def avoided_until_ms(self, target: identifiers.TargetId) -> float:
         """Returns until when a target is avoided; 0 if it never was."""
--- a/src/carobslip/slotbroker/_scheduler.py
+++ b/src/carobslip/slotbroker/_scheduler.py
@@ -207,6 +207,8 @@
         now_ms: float,
     ) -> _types.SlotRefused | _types.SlotQueued:
         demand = waiter.demand
+        if self._is_too_soon(waiter, state):
+            return self.refuse(waiter, state, 'returned too soon', now_ms)
         ahead = state.queue.add(waiter)
         self._tickets.queue(demand)
         reason = self._why_not_startable(waiter, state, now_ms)
@@ -226,6 +228,20 @@
         self._log.metrics.count('slots.queued')
         return _types.SlotQueued(ticket=demand.ticket, wait_ms=waiter.wait_ms)
 
+    def _is_too_soon(
+        self, waiter: _queue.Waiter, state: _service.ServiceState
+    ) -> bool:
+        """Tells whether a caller came back early while others wait.
+
+        Each try is a new chance to find the queue short for a moment; early
+        ones would be served more often than those that wait as told.
+        """
+        return (
+            waiter.how_returned is _returns.Return.TOO_SOON
+            and not waiter.demand.may_have_run
+            and state.queue.count_as_urgent(waiter.priority) > 0
+        )
+
     def _why_not_startable(
         self,
         waiter: _queue.Waiter,
--- a/src/carobslip/slotbroker/_waits.py
+++ b/src/carobslip/slotbroker/_waits.py
@@ -30,7 +30,7 @@
 _FIRST_EVENT_SHARE: Final = 0.4
 #: Part of the rate that is assumed to remain for a request while more urgent
 #: requests arrive faster than slots become free.
-_REMAINING_SHARE_MIN: Final = 0.05
+_REMAINING_SHARE_MIN: Final = 0.2
 
 #: Bounds of retry delays. A delay must end while the refusal is remembered.
 _RETRY_MIN_MS: Final = 400.0
