--- a/src/carobslip/slotbroker/_broker.py
+++ b/src/carobslip/slotbroker/_broker.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
+import msgspec
+
 from carobslip import clocks, identifiers, observability, targets
 from carobslip.slotbroker import (
     _decision_log,
@@ -136,6 +138,8 @@
         lease = self._leases.close(outcome.lease, now_ms)
         if lease is None:
             return
+        # A name that no lease has would be kept as a target of its own.
+        outcome = msgspec.structs.replace(outcome, target=lease.granted.target)
         waiter = lease.waiter
         self._end(waiter.demand.ticket, waiter.demand.entry, now_ms)
         self._pacing.note_outcome(outcome)
@@ -160,6 +164,21 @@
             target, total, valid_ms=valid_ms, now_ms=self._clock.now_ms()
         )
 
+    def store_pace(
+        self, target: identifiers.TargetId, pace: float, *, valid_ms: float
+    ) -> None:
+        """Stores how slow a target is relative to the others of its group.
+
+        Outcomes do not show it: all targets of a lock-step group take as long
+        as the slowest.
+
+        Args:
+            target: The target.
+            pace: Time that it needs relative to the usual one.
+            valid_ms: Validity of the report.
+        """
+        self._health.store_pace(target, pace, self._clock.now_ms() + valid_ms)
+
     def avoid(self, target: identifiers.TargetId, avoid_ms: float) -> None:
         """Assigns no slots of a target for a while."""
         self._health.avoid(target, self._clock.now_ms() + avoid_ms)
--- a/src/carobslip/slotbroker/_health.py
+++ b/src/carobslip/slotbroker/_health.py
@@ -38,6 +38,8 @@
         self.avoid_until_ms = 0.0
         # Set by others, and not ended by late answers of a stalled group.
         self.stalled_until_ms = 0.0
+        self.pace = 1.0
+        self.pace_until_ms = 0.0
         self.event_ms = 0.0
         self.observed_ms = 0.0
 
@@ -90,12 +92,21 @@
     def slowness(self, target: identifiers.TargetId, now_ms: float) -> float:
         """Returns the time of an event relative to the other targets."""
         known = self._known.get(target)
-        if known is None or now_ms - known.observed_ms > _FRESH_MS:
+        if known is None:
             return 1.0
+        ratio = known.pace if now_ms < known.pace_until_ms else 1.0
         median_ms = self._median(now_ms)
-        if median_ms <= 0 or known.event_ms < _SLOW_RATIO * median_ms:
-            return 1.0
-        return min(_SLOW_RATIO_MAX, known.event_ms / median_ms)
+        if median_ms > 0 and now_ms - known.observed_ms <= _FRESH_MS:
+            ratio = max(ratio, known.event_ms / median_ms)
+        return min(_SLOW_RATIO_MAX, ratio) if ratio >= _SLOW_RATIO else 1.0
+
+    def store_pace(
+        self, target: identifiers.TargetId, pace: float, until_ms: float
+    ) -> None:
+        """Stores the time that a target needs relative to its group."""
+        known = self._get(target)
+        known.pace = pace
+        known.pace_until_ms = until_ms
 
     def drop_unlisted(self, listed: Iterable[identifiers.TargetId]) -> None:
         """Drops the state of unlisted targets."""
--- a/src/carobslip/slotbroker/_scheduler.py
+++ b/src/carobslip/slotbroker/_scheduler.py
@@ -218,6 +218,7 @@
                 self._outlook(demand.service, state, now_ms),
                 ahead=ahead,
                 ahead_in_class=state.queue.count(waiter.priority) - 1,
+                floor=state.floor_class(),
             )
             if waiter.wait_ms > demand.wait_left_ms:
                 reason = 'queue too long'
@@ -312,6 +313,7 @@
         """Refuses requests that are not expected to start in time."""
         refused: list[Decision] = []
         outlook = self._outlook(service, state, now_ms)
+        floor = state.floor_class()
         ahead: dict[int, int] = {}
         for waiter in state.queue.waiters():
             in_class = ahead.get(waiter.priority, 0)
@@ -320,6 +322,7 @@
                 outlook,
                 ahead=sum(ahead.values()),
                 ahead_in_class=in_class,
+                floor=floor,
             )
             if self._is_hopeless(waiter, now_ms):
                 refused.append(
--- a/src/carobslip/slotbroker/_service.py
+++ b/src/carobslip/slotbroker/_service.py
@@ -87,6 +87,7 @@
         *,
         ahead: int,
         ahead_in_class: int,
+        floor: int | None,
     ) -> float:
         """Returns the expected wait of a request.
 
@@ -95,15 +96,20 @@
             outlook: When slots become free.
             ahead: Requests that go before it.
             ahead_in_class: Those of its own priority.
+            floor: The class that gets the guaranteed grants, if any.
         """
         below = float('inf') if waiter.is_late else waiter.priority
         arrivals = self.times.arrivals_per_ms(below, outlook.now_ms)
         wait_ms = _waits.wait_ms(ahead, outlook.rate, arrivals)
-        if waiter.priority == self._floor_class():
+        if waiter.priority == floor:
             floor_rate = outlook.rate / _classes.GRANTS_PER_FLOOR
             wait_ms = min(wait_ms, (ahead_in_class + 1) / floor_rate)
         return outlook.blocked_ms + wait_ms
 
+    def floor_class(self) -> int | None:
+        """Returns the class that gets the guaranteed grants, if any."""
+        return self.classes.floor_class(self.queue.priorities())
+
     def next_waiter(self, pending: list[_queue.Waiter]) -> _queue.Waiter:
         """Removes and returns the request that is to start next.
 
@@ -150,11 +156,9 @@
         waiter = lease.waiter
         cost = self.costs.observe(waiter.demand, outcome)
         waiter.account.finish += cost - waiter.cost
-        is_on_time = False
         if outcome.first_event_ms is not None:
-            event_ms = lease.started_ms + outcome.first_event_ms
-            is_on_time = event_ms <= waiter.on_time_until_ms
             self.times.note_first_event(outcome.first_event_ms, now_ms)
+        is_on_time = _was_on_time(lease, outcome)
         self.classes.correct(
             waiter.priority, on_time=is_on_time - waiter.is_on_time
         )
@@ -166,5 +170,12 @@
             return False
         return self.can_be_on_time(waiter)
 
-    def _floor_class(self) -> int | None:
-        return self.classes.floor_class(self.queue.priorities())
+
+def _was_on_time(lease: _leases.Lease, outcome: _types.SlotOutcome) -> bool:
+    first_ms = outcome.first_event_ms
+    if first_ms is None and outcome.result is _types.SlotResult.SERVED:
+        # An answer that is not streamed arrives at its end.
+        first_ms = outcome.took_ms
+    if first_ms is None:
+        return False
+    return lease.started_ms + first_ms <= lease.waiter.on_time_until_ms
--- a/tests/test_slot_broker.py
+++ b/tests/test_slot_broker.py
@@ -425,6 +425,13 @@
     assert [one.target for one in scene.fill(13)].count('t-0') <= 1
 
 
+# In a lock-step group, the answers of all targets are as slow as the slowest.
+def test_targets_that_report_a_slow_pace_get_fewer_requests():
+    scene = Scene(count=5, slots=5)
+    scene.broker.store_pace('t-0', 3.45, valid_ms=1000.0)
+    assert [one.target for one in scene.fill(13)].count('t-0') <= 1
+
+
 # Traffic between data centres costs money.
 def test_targets_in_the_same_data_centre_are_preferred_at_similar_load():
     scene = Scene(count=4, slots=5)
