--- a/src/carobslip/slotbroker/_leases.py
+++ b/src/carobslip/slotbroker/_leases.py
@@ -11,6 +11,8 @@
 
 #: Age that a load report can have when it arrives.
 _REPORT_AGE_MAX_MS: Final = 1000.0
+#: Changes of the number of own leases that are kept for a target.
+_FORMER_MAX: Final = 256
 #: Time that a lease outlasts the patience of its caller, for the release to
 #: arrive.
 _LEASE_EXTRA_MS: Final = 2000.0
@@ -39,25 +41,36 @@
         self.own = 0
         self.others = 0
         self.valid_until_ms = 0.0
-        # Numbers of own leases with the time until which each was in effect,
-        # in descending order of the numbers.
-        self._former: collections.deque[tuple[float, int]] = collections.deque()
+        self._confirmed_ms = float('-inf')
+        # Former numbers of own leases, with the end of each.
+        self._former: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=_FORMER_MAX
+        )
 
     def change(self, amount: int, now_ms: float) -> None:
         """Changes the number of own leases."""
-        while self._former and self._former[-1][1] <= self.own:
-            self._former.pop()
         self._former.append((now_ms, self.own))
         self.own += amount
 
-    def peak(self, now_ms: float) -> int:
-        """Returns the largest number of own leases that a report can show."""
+    def store_report(self, total: int, now_ms: float) -> None:
+        """Estimates the requests of others from a report.
+
+        The number of own leases when the report was made is within the range
+        of the last second. An earlier estimate is kept as long as it agrees
+        with that range; the least one that agrees would be too low whenever
+        own leases have just ended.
+        """
         oldest_ms = now_ms - _REPORT_AGE_MAX_MS
         while self._former and self._former[0][0] < oldest_ms:
             self._former.popleft()
-        if not self._former:
-            return self.own
-        return max(self.own, self._former[0][1])
+        own = [self.own, *(number for _, number in self._former)]
+        least = max(0, total - max(own))
+        most = max(0, total - min(own))
+        is_kept = now_ms - self._confirmed_ms <= _REPORT_AGE_MAX_MS
+        if least >= self.others or not is_kept:
+            self.others = least
+            self._confirmed_ms = now_ms
+        self.others = min(most, self.others)
 
 
 class LeaseBook:
@@ -140,7 +153,7 @@
         load = self._load(target)
         if load.valid_until_ms > now_ms + valid_ms:
             return
-        load.others = max(0, total - load.peak(now_ms))
+        load.store_report(total, now_ms)
         load.valid_until_ms = now_ms + valid_ms
 
     def drop_unlisted(self, listed: Iterable[identifiers.TargetId]) -> None:
--- a/tests/test_slot_broker.py
+++ b/tests/test_slot_broker.py
@@ -354,6 +354,28 @@
         shown.append((scene.now, len(own) + 2))
 
 
+# After a decline of own leases, requests of others look like own ones.
+def test_requests_of_others_are_counted_while_own_leases_decline():
+    scene = Scene(slots=5)
+    scene.broker.store_report('t-0', 2, valid_ms=1500.0)
+    own = scene.fill(3)
+    for _ in range(12):
+        scene.now += 200
+        if own:
+            scene.end(own.pop())
+        scene.broker.store_report('t-0', len(own) + 2, valid_ms=1500.0)
+    assert [is_granted(one) for one in scene.fill(4)] == [True] * 3 + [False]
+
+
+# Requests of others that have ended would keep their slots in use.
+def test_slots_that_others_have_left_are_granted_at_the_next_report():
+    scene = Scene(slots=5)
+    scene.broker.store_report('t-0', 5, valid_ms=1500.0)
+    assert not is_granted(scene.ask(wait_left_ms=0.0))
+    scene.broker.store_report('t-0', 1, valid_ms=1500.0)
+    assert [is_granted(one) for one in scene.fill(5)] == [True] * 4 + [False]
+
+
 # A broker that starts anew has no leases, while requests of the former one run.
 def test_a_new_broker_counts_requests_of_the_former_one():
     scene = Scene(slots=5)
