--- a/src/carobslip/slotbroker/_leases.py
+++ b/src/carobslip/slotbroker/_leases.py
@@ -41,6 +41,7 @@
         self.own = 0
         self.others = 0
         self.valid_until_ms = 0.0
+        self.reported_ms: float | None = None
         self._confirmed_ms = float('-inf')
         # Former numbers of own leases, with the end of each.
         self._former: collections.deque[tuple[float, int]] = collections.deque(
@@ -96,6 +97,15 @@
             return load.own + load.others
         return load.own
 
+    def report_age_ms(
+        self, target: identifiers.TargetId, now_ms: float
+    ) -> int | None:
+        """Returns the time since the last report on a target, if any."""
+        load = self._loads.get(target)
+        if load is None or load.reported_ms is None:
+            return None
+        return round(now_ms - load.reported_ms)
+
     def room(self, record: targets.TargetRecord, now_ms: float) -> int:
         """Returns how many more requests may start at a target."""
         return max(0, record.slots - self.load_of(record.target, now_ms))
@@ -155,6 +165,7 @@
             return
         load.store_report(total, now_ms)
         load.valid_until_ms = now_ms + valid_ms
+        load.reported_ms = now_ms
 
     def drop_unlisted(self, listed: Iterable[identifiers.TargetId]) -> None:
         """Drops the load of unlisted targets without own leases."""
--- a/src/carobslip/slotbroker/_queue.py
+++ b/src/carobslip/slotbroker/_queue.py
@@ -7,11 +7,14 @@
 
 from carobslip.slotbroker import _returns, _shares, _types
 
-#: Work, in multiples of the request's own cost, by which a team may exceed its
-#: share before its returning callers lose their precedence over new requests
-#: of other teams. Without the bound, a large team that is refused often would
-#: keep the new requests of small teams waiting.
+#: Work, in multiples of the average cost, by which a team may exceed its share
+#: before its returning callers lose their precedence over new requests of
+#: other teams. Without the bound, a large team that is refused often would
+#: keep the new requests of small teams waiting. The cost of the request itself
+#: would favour large requests.
 _RETURN_CREDIT: Final = 3.0
+#: Weight of one request in the average cost.
+_AVERAGE_SHARE: Final = 0.05
 #: Distinct priorities; less urgent ones are treated as equal.
 _PRIORITY_MAX: Final = 15
 
@@ -70,11 +73,6 @@
         """When the objective of the caller ends."""
         return self.arrived_ms + self.demand.on_time_left_ms
 
-    @property
-    def is_late(self) -> bool:
-        """Tells whether it was ordered behind those that can be on time."""
-        return self.key[0] == _LATE
-
 
 class ServiceQueue:
     """Requests that wait for one service.
@@ -89,6 +87,7 @@
         self._waiters: dict[str, Waiter] = {}
         self._order: list[tuple[Key, Waiter]] = []
         self._shares: dict[int, _shares.TeamShares] = {}
+        self._usual_cost = 0.0
         self._by_priority: collections.Counter[int] = collections.Counter()
 
     def __len__(self) -> int:
@@ -125,6 +124,8 @@
         start = shares.start_of(waiter.account) + waiter.account.waiting_cost
         shares.note_waiting(waiter.account, waiter.cost)
         self._by_priority[waiter.priority] += 1
+        share = _AVERAGE_SHARE if self._usual_cost else 1.0
+        self._usual_cost += share * (waiter.cost - self._usual_cost)
         waiter.key = self._key(waiter, self._band(waiter), start)
         self._waiters[waiter.demand.ticket] = waiter
         position = self._position(waiter)
@@ -177,7 +178,7 @@
     def _key(self, waiter: Waiter, band: int, start: float) -> Key:
         excess = start - self._share(waiter).virtual
         goes_first = (
-            waiter.is_returning and excess <= _RETURN_CREDIT * waiter.cost
+            waiter.is_returning and excess <= _RETURN_CREDIT * self._usual_cost
         )
         return band, waiter.priority, int(not goes_first), start, waiter.order
 
--- a/src/carobslip/slotbroker/_scheduler.py
+++ b/src/carobslip/slotbroker/_scheduler.py
@@ -162,6 +162,7 @@
             forecast_ms=round(waiter.wait_ms),
             backlog=backlog,
             slots_per_s=round(1000 * outlook.rate, 1),
+            released_age_ms=outlook.age_ms and round(outlook.age_ms),
             retry_after_ms=round(refused.retry_after_ms),
         )
         return refused
@@ -374,6 +375,7 @@
             is_returning=waiter.is_returning,
             cost=round(waiter.cost),
             load=self._leases.load_of(record.target, now_ms),
+            report_age_ms=self._leases.report_age_ms(record.target, now_ms),
             waiting=len(state.queue),
         )
         return granted
--- a/src/carobslip/slotbroker/_service.py
+++ b/src/carobslip/slotbroker/_service.py
@@ -27,11 +27,13 @@
     Attributes:
         rate: Slots that become free, per millisecond.
         blocked_ms: Time until the first target is usable.
+        age_ms: Age of the newest release that the rate rests on, if any.
         now_ms: Time of the forecast.
     """
 
     rate: float
     blocked_ms: float
+    age_ms: float | None
     now_ms: float
 
 
@@ -67,6 +69,7 @@
         self.last_outlook = Outlook(
             rate=rate,
             blocked_ms=max(0.0, usable_from_ms - now_ms),
+            age_ms=self.times.age_ms(now_ms),
             now_ms=now_ms,
         )
         return self.last_outlook
@@ -98,7 +101,8 @@
             ahead_in_class: Those of its own priority.
             floor: The class that gets the guaranteed grants, if any.
         """
-        below = float('inf') if waiter.is_late else waiter.priority
+        is_late = not self.can_be_on_time(waiter)
+        below = float('inf') if is_late else waiter.priority
         arrivals = self.times.arrivals_per_ms(below, outlook.now_ms)
         wait_ms = _waits.wait_ms(ahead, outlook.rate, arrivals)
         if waiter.priority == floor:
--- a/src/carobslip/slotbroker/_waits.py
+++ b/src/carobslip/slotbroker/_waits.py
@@ -81,6 +81,12 @@
         median_ms = statistics.median(self._held_ms)
         self._typical_held_ms = held + weight * (median_ms - held)
 
+    def age_ms(self, now_ms: float) -> float | None:
+        """Returns the time since the last release; None before the first."""
+        if not self._held_ms:
+            return None
+        return now_ms - self._released_ms
+
     def note_first_event(self, first_event_ms: float, now_ms: float) -> None:
         """Notes the time from a start to the first event."""
         self._first_events.append((now_ms, first_event_ms))
