--- a/src/carobslip/slotbroker/__init__.py
+++ b/src/carobslip/slotbroker/__init__.py
@@ -1,5 +1,7 @@
 """Hands out the slots of a service's targets to the requests of all entries."""
 
+from carobslip.slotbroker._broker import SlotBroker
+from carobslip.slotbroker._ports import TargetPacing
 from carobslip.slotbroker._target_pace import TargetPace
 from carobslip.slotbroker._types import (
     EXCLUDED_MAX,
@@ -13,6 +15,7 @@
 
 __all__ = [
     'EXCLUDED_MAX',
+    'SlotBroker',
     'SlotDemand',
     'SlotGranted',
     'SlotOutcome',
@@ -20,4 +23,5 @@
     'SlotRefused',
     'SlotResult',
     'TargetPace',
+    'TargetPacing',
 ]
