--- a/src/carobslip/forwarding/__init__.py
+++ b/src/carobslip/forwarding/__init__.py
@@ -28,10 +28,20 @@
 from carobslip.forwarding._rate_limits import NamedLimit, RateLimits
 from carobslip.forwarding._repeat_budget import RepeatBounds, RepeatBudget
 from carobslip.forwarding._request import AnswerHead, ForwardRequest, Headers
+from carobslip.forwarding._slot_ports import (
+    UNUSED,
+    Assignment,
+    SlotPort,
+    SlotTrace,
+    SlotUse,
+)
+from carobslip.forwarding._slot_source import BrokeredAdmission, SlotSource
 from carobslip.forwarding._table import ForwardingIndex, choose_service
 
 __all__ = [
     'Admission',
+    'Assignment',
+    'BrokeredAdmission',
     'AnswerHead',
     'CallProgress',
     'Caller',
@@ -57,9 +67,14 @@
     'RepeatBounds',
     'RepeatBudget',
     'SharedLimits',
+    'SlotPort',
+    'SlotSource',
+    'SlotTrace',
+    'SlotUse',
     'StreamEvent',
     'TargetAnswer',
     'TargetLoad',
     'TargetPort',
+    'UNUSED',
     'choose_service',
 ]
--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import math
 import random
 from collections.abc import Callable, Sequence
 from typing import Final
@@ -15,7 +16,7 @@
 import msgspec
 
 from carobslip import clocks, identifiers, targets
-from carobslip.forwarding import _loads, _permits
+from carobslip.forwarding import _loads, _permits, _slot_ports
 
 #: Window over which requests to a cold target are counted; the bound is stated
 #: per second.
@@ -60,6 +61,14 @@
             the load from other entries.
         may_have_run: A target may have run it, so it can no longer be refused
             as not run; it goes before all others.
+        objective_until_ms: When the caller's objective ends.
+        patience_until_ms: How long the caller waits for its answer.
+        team: The team that owns it.
+        prompt_tokens: Prompt size that the caller states; 0 if none.
+        answer_tokens_max: Limit of generated tokens; 0 if not stated.
+        answer_tokens_hint: The caller's estimate of them; 0 if none.
+        content_digest: Equal for repeats of the same content by a caller.
+        trace: Receives the decisions of brokers.
     """
 
     service: identifiers.ServiceId
@@ -70,6 +79,14 @@
     cold_rps: float = 0
     share_min: int = 1
     may_have_run: bool = False
+    objective_until_ms: float = math.inf
+    patience_until_ms: float = math.inf
+    team: identifiers.TeamId | None = None
+    prompt_tokens: int = 0
+    answer_tokens_max: int = 0
+    answer_tokens_hint: int = 0
+    content_digest: int = 0
+    trace: _slot_ports.SlotTrace | None = None
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -182,7 +199,11 @@
             return refusal
         return await self._wait(demand)
 
-    def release(self, record: targets.TargetRecord) -> None:
+    def release(
+        self,
+        record: targets.TargetRecord,
+        use: _slot_ports.SlotUse = _slot_ports.UNUSED,
+    ) -> None:
         """Returns a slot and starts queued requests."""
         self._loads.note_end(record.target)
         self.start_queued(record.service)
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from carobslip import guard, observability, targets, verdicts
+from carobslip import guard, observability, slotbroker, targets, verdicts
 from carobslip.forwarding import (
     _admission,
     _calls,
@@ -19,6 +19,8 @@
     _relay,
     _repeat_budget,
     _retry_after,
+    _slot_ports,
+    _slot_source,
     _stalls,
 )
 
@@ -29,6 +31,7 @@
 _GROUP_STALL_MS: Final = 1500.0
 #: Interval at which requests at a stalled target look for another free slot.
 _STALL_POLL_S: Final = 0.05
+_SERVER_ERROR: Final = 500
 #: Further targets that a request tries while its target is stalled.
 _SECOND_CALLS_MAX: Final = 2
 
@@ -55,7 +58,7 @@
         loads: _loads.LoadTracker,
         port: _ports.TargetPort,
         stalls: _stalls.StallTracker,
-        admission: _admission.Admission,
+        admission: _slot_source.SlotSource,
         demand_of: Callable[
             [_pending_request.PendingRequest], _admission.Demand
         ],
@@ -130,7 +133,7 @@
             ended = [call for call in calls if _is_done(call)]
             for call in ended:
                 calls.remove(call)
-                self._admission.release(call.place)
+                self._admission.release(call.place, _use_of(call))
                 outcome = self._note_end(pending, call)
                 if outcome.verdict is _Verdict.RAN:
                     return outcome
@@ -238,7 +241,7 @@
         tasks = [call.task for call in calls if call.task is not None]
         for call in calls:
             call.cancel()
-            self._admission.release(call.place)
+            self._admission.release(call.place, _use_of(call))
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _call(
@@ -257,6 +260,7 @@
             may_reuse_connection=pending.route.may_repeat
             and pending.request.method == 'POST',
             progress=call.progress,
+            urgency=pending.urgency,
         )
         try:
             async with self._port.call(sent) as answer:
@@ -287,6 +291,7 @@
         answer: _ports.TargetAnswer,
     ) -> verdicts.Outcome:
         place = call.place
+        call.answered_status = answer.head.status
         if answer.load is not None:
             total = answer.load.running + answer.load.waiting
             self._loads.store_report(
@@ -310,7 +315,7 @@
                 _Reason.TARGET_FAILED,
                 f'status {answer.head.status} when resumed',
             )
-        if answer.head.status >= 500 and (
+        if answer.head.status >= _SERVER_ERROR and (
             call.has_parallel_call or self._reserve_repeat(pending)
         ):
             return verdicts.may_have_run(
@@ -403,3 +408,30 @@
             'another target answered first',
         )
     return call.task.result()
+
+
+def _use_of(call: _calls.Call) -> _slot_ports.SlotUse:
+    """Returns how a call that has ended used its slot."""
+    return _slot_ports.SlotUse(
+        result=_result_of(call),
+        first_event_ms=call.progress.first_event_ms,
+        events=call.progress.events,
+    )
+
+
+def _result_of(call: _calls.Call) -> slotbroker.SlotResult:
+    task = call.task
+    if task is None or call.is_cancelled or task.cancelled():
+        return slotbroker.SlotResult.CANCELLED
+    if task.exception() is not None:
+        # The answer could not be sent to the caller.
+        return slotbroker.SlotResult.CANCELLED
+    outcome = task.result()
+    if outcome.reason is _Reason.NOT_CONNECTED:
+        return slotbroker.SlotResult.UNREACHABLE
+    if outcome.verdict is _Verdict.NOT_RUN:
+        return slotbroker.SlotResult.NOT_RUN
+    has_failed = call.answered_status >= _SERVER_ERROR
+    if outcome.verdict is _Verdict.RAN and not has_failed:
+        return slotbroker.SlotResult.SERVED
+    return slotbroker.SlotResult.FAILED
--- a/src/carobslip/forwarding/_calls.py
+++ b/src/carobslip/forwarding/_calls.py
@@ -34,6 +34,7 @@
         self.progress = _ports.CallProgress(started_ms=started_ms)
         self.is_cancelled = False
         self.is_sending_to_caller = False
+        self.answered_status = 0
         self._calls = calls
 
     @property
--- a/src/carobslip/forwarding/_context.py
+++ b/src/carobslip/forwarding/_context.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from carobslip import clocks, observability
-from carobslip.forwarding import _permits, _repeat_budget
+from carobslip.forwarding import _permits, _repeat_budget, _slot_ports
 
 
 class ForwardingRules(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,10 +43,13 @@
     Attributes:
         budget: Bounds repeated sends.
         permits: Shares the rates that targets have named.
+        slots: Reaches the brokers of contended services; None if this entry
+            decides on all requests itself.
     """
 
     budget: _repeat_budget.RepeatBudget
     permits: _permits.PermitGate
+    slots: _slot_ports.SlotPort | None = None
 
 
 class ProcessContext(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -22,6 +22,7 @@
     _pending_request,
     _ports,
     _request,
+    _slot_source,
     _stalls,
     _table,
 )
@@ -101,14 +102,7 @@
         self._configured = asyncio.Event()
         self.stalls = _stalls.StallTracker(clock=context.clock)
         self.in_progress = 0
-        self.admission = _admission.Admission(
-            loads=loads,
-            candidates=self._candidates,
-            entries=fleet.entries,
-            permits=shared.permits,
-            clock=context.clock,
-            generator=context.generator,
-        )
+        self.admission = self._new_slot_source(loads, fleet, shared, context)
         self._attempts = _attempts.Attempts(
             registry=registry,
             loads=loads,
@@ -121,6 +115,34 @@
             context=context,
         )
 
+    def _new_slot_source(
+        self,
+        loads: _loads.LoadTracker,
+        fleet: _context.FleetView,
+        shared: _context.SharedLimits,
+        context: _context.ProcessContext,
+    ) -> _slot_source.SlotSource:
+        admission = _admission.Admission(
+            loads=loads,
+            candidates=self.candidates,
+            entries=fleet.entries,
+            permits=shared.permits,
+            clock=context.clock,
+            generator=context.generator,
+        )
+        if shared.slots is None:
+            return admission
+        return _slot_source.BrokeredAdmission(
+            own=admission,
+            port=shared.slots,
+            contended=lambda: self._contended,
+            candidates=self.candidates,
+            loads=loads,
+            clock=context.clock,
+            log=context.log,
+            metrics=context.metrics,
+        )
+
     def apply_configuration(self) -> None:
         """Puts the configuration of the holder in force."""
         self._index = _table.ForwardingIndex(
@@ -136,6 +158,12 @@
         """
         self.admission.close()
 
+    @property
+    def _contended(self) -> frozenset[identifiers.ServiceId]:
+        if self._index is None:
+            return frozenset()
+        return self._index.contended_services
+
     @property
     def limits(self) -> configuration.CallerLimits:
         """Bounds on callers that are in force."""
@@ -188,6 +216,7 @@
                 waited_ms=round(pending.waited_ms),
                 after_ms=round(self._clock.now_ms() - request.arrived_ms),
                 **self._progress_of(pending),
+                **pending.slot_trace.fields(),
             )
             raise
         finally:
@@ -261,6 +290,7 @@
             route=route,
             team=team,
             service=service,
+            is_contended=service in index.contended_services,
         )
 
     async def _run_attempts(
@@ -369,21 +399,28 @@
             wait_until_ms = pending.progress_ms + _RESUMED_STREAM_WAIT_MAX_MS
         else:
             wait_until_ms = arrived_ms + _STREAM_WAIT_MAX_MS
-        team_priority = None if pending.team is None else pending.team.priority
+        request = pending.request
         return _admission.Demand(
             service=pending.service,
-            priority=pending.route.priority
-            if team_priority is None
-            else team_priority,
+            priority=pending.priority,
             on_time_until_ms=arrived_ms + on_time_ms,
             wait_until_ms=min(wait_until_ms, pending.deadline_ms),
             may_have_run=pending.may_have_run,
             excluded=pending.excluded,
-            cold_rps=self._cold_rps(pending.service),
+            cold_rps=self.cold_rps(pending.service),
             share_min=1 if is_stream else _PLAIN_SHARE_MIN,
+            objective_until_ms=arrived_ms + pending.route.objective_ms,
+            patience_until_ms=pending.deadline_ms,
+            team=None if pending.team is None else pending.team.team,
+            prompt_tokens=request.prompt_tokens,
+            answer_tokens_max=request.answer_tokens_max,
+            answer_tokens_hint=request.answer_tokens_hint,
+            content_digest=pending.content_digest,
+            trace=pending.slot_trace,
         )
 
-    def _cold_rps(self, service: identifiers.ServiceId) -> float:
+    def cold_rps(self, service: identifiers.ServiceId) -> float:
+        """Returns the requests a second that a cold target may get; 0: any."""
         known = (
             None if self._index is None else (self._index.services.get(service))
         )
@@ -392,10 +429,11 @@
         rules = self.rules
         return known.cold_rps * rules.cold_factor + rules.cold_extra_rps
 
-    def _candidates(
+    def candidates(
         self,
         service: identifiers.ServiceId,
     ) -> list[targets.TargetRecord]:
+        """Returns the targets that may be used for a service."""
         if self._index is None:
             return []
         return self._registry.usable(
@@ -461,6 +499,7 @@
             waited_ms=round(pending.waited_ms),
             without_place=pending.without_place,
             permits_refused=pending.permits_refused,
+            **pending.slot_trace.fields(),
             first_event_ms=None
             if pending.first_event_ms is None
             else round(pending.first_event_ms),
--- a/src/carobslip/forwarding/_pending_request.py
+++ b/src/carobslip/forwarding/_pending_request.py
@@ -1,7 +1,12 @@
 """Progress of one forwarded request."""
 
-from carobslip import configuration, identifiers
-from carobslip.forwarding import _ports, _request
+from typing import Final
+
+from carobslip import configuration, hashing, identifiers
+from carobslip.forwarding import _ports, _request, _slot_ports
+
+#: Largest number that stands for a priority in calls of targets.
+_URGENCY_MAX: Final = 9
 
 
 class PendingRequest:
@@ -29,6 +34,9 @@
         is_suspect: It may have crashed a target.
         resend_pause_ms: Pause before it is sent again after a crash.
         permits_refused: Slots that it gave up because of a target's rate.
+        urgency: What targets are told, from 0 for the highest to 9, if the
+            service is contended.
+        slot_trace: What brokers have decided on it.
     """
 
     def __init__(
@@ -39,6 +47,7 @@
         route: configuration.Route,
         team: configuration.Team | None,
         service: identifiers.ServiceId,
+        is_contended: bool = False,
     ) -> None:
         self.request = request
         self.caller = caller
@@ -61,6 +70,10 @@
         self.is_suspect = False
         self.resend_pause_ms = 0.0
         self.permits_refused = 0
+        self.slot_trace = _slot_ports.SlotTrace()
+        self.urgency = (
+            max(0, min(_URGENCY_MAX, self.priority)) if is_contended else None
+        )
         self.first_event_ms: float | None = None
         self.last_event: int | None = None
         self.lost_at: set[identifiers.TargetId] = set()
@@ -68,6 +81,24 @@
         patience_ms = min(request.patience_ms, route.timeout_ms)
         self.deadline_ms = request.arrived_ms + patience_ms
 
+    @property
+    def priority(self) -> int:
+        """Priority of the request; 0 is the highest."""
+        own = None if self.team is None else self.team.priority
+        return self.route.priority if own is None else own
+
+    @property
+    def content_digest(self) -> int:
+        """Equal for repeats of the same content by the same team.
+
+        Computed only for contended services, whose brokers compare it.
+        """
+        part = self.request.content_part
+        if part is None or self.urgency is None:
+            return 0
+        owner = '' if self.team is None else self.team.team
+        return hashing.digest_names(part, owner)
+
     @property
     def excluded(self) -> frozenset[identifiers.TargetId]:
         """Targets that are not tried now."""
--- a/src/carobslip/forwarding/_ports.py
+++ b/src/carobslip/forwarding/_ports.py
@@ -37,6 +37,7 @@
             when the call was abandoned; None if it ended otherwise.
         received_bytes: Bytes of the answer's body that have arrived.
         events: Complete events of a stream among them.
+        first_event_ms: Time from the start of the call to the first of them.
     """
 
     started_ms: float = 0
@@ -44,6 +45,7 @@
     unconfirmed_bytes: int | None = None
     received_bytes: int = 0
     events: int = 0
+    first_event_ms: float | None = None
 
     def fields(self, now_ms: float) -> dict[str, float | int | None]:
         """Returns the progress as fields of a log line."""
@@ -69,6 +71,8 @@
         last_event: The stream resumes after this event; None for a new stream.
         may_reuse_connection: A kept-alive connection may carry the call.
         progress: Updated while the call proceeds.
+        urgency: Priority of the request, from 0 for the highest to 9, if the
+            service is contended.
     """
 
     request: _request.ForwardRequest
@@ -79,6 +83,7 @@
     last_event: str | None
     may_reuse_connection: bool
     progress: CallProgress = msgspec.field(default_factory=CallProgress)
+    urgency: int | None = None
 
 
 class TargetLoad(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/carobslip/forwarding/_relay.py
+++ b/src/carobslip/forwarding/_relay.py
@@ -84,7 +84,7 @@
             self._note_received(call, content)
             async for batch in _batches_of(splitter.feed(content)):
                 call.check()
-                call.progress.events += len(batch)
+                self._note_events(call, len(batch))
                 fresh = continuation.take(batch)
                 await self._forward(pending, call, answer.head, fresh)
                 continuation.check()
@@ -98,6 +98,13 @@
         with call.sending_to_caller():
             await pending.caller.end()
 
+    def _note_events(self, call: _calls.Call, count: int) -> None:
+        progress = call.progress
+        if progress.first_event_ms is None:
+            now_ms = self._context.clock.now_ms()
+            progress.first_event_ms = now_ms - call.started_ms
+        progress.events += count
+
     def _note_received(self, call: _calls.Call, content: bytes) -> None:
         call.check()
         call.progress.received_bytes += len(content)
--- a/src/carobslip/forwarding/_request.py
+++ b/src/carobslip/forwarding/_request.py
@@ -23,6 +23,7 @@
         patience_ms: How long the caller waits after that.
         prompt_tokens: Prompt size that the caller states; 0 if none.
         answer_tokens_max: Limit of generated tokens; 0 if not stated.
+        answer_tokens_hint: The caller's estimate of them; 0 if none.
         last_event: The event after which the caller resumes a stream.
         shared_parts: The parts of its prompt that other requests may share.
         content_part: Stands for all that is requested; a caller that repeats the
@@ -40,6 +41,7 @@
     patience_ms: float
     prompt_tokens: int = 0
     answer_tokens_max: int = 0
+    answer_tokens_hint: int = 0
     last_event: str | None = None
     shared_parts: tuple[identifiers.PromptPart, ...] = ()
     content_part: identifiers.PromptPart | None = None
--- a/src/carobslip/forwarding/_table.py
+++ b/src/carobslip/forwarding/_table.py
@@ -22,6 +22,7 @@
             key: team for team in table.teams for key in team.api_keys
         }
         self.services = {service.service: service for service in table.services}
+        self.contended_services = table.contended_services
 
     def find_route(self, host: str, path: str) -> configuration.Route | None:
         """Returns the route with the longest prefix of a path.
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -187,6 +187,29 @@
         'prompt-cleared',
         'Parts of a prompt are no longer held responsible for crashes.',
     )
+    BROKER_SILENT = (
+        440,
+        'broker-silent',
+        'The entry that assigns the slots of a service did not answer; this '
+        'entry decides alone for a while.',
+    )
+    BROKER_CHANGED = (
+        441,
+        'broker-changed',
+        'Another entry assigns the slots of a service from now on.',
+    )
+    GRANT_NOT_USED = (
+        442,
+        'grant-not-used',
+        'A slot was granted too late, or at a target that cannot be used; it '
+        'was returned.',
+    )
+    SLOTS_NOT_RETURNED = (
+        443,
+        'slots-not-returned',
+        'An entry could not be told that slots are free; they are free there '
+        'when their time limits end.',
+    )
     TARGET_OUT = (501, 'target-out', 'The target gets no new work.')
     TARGET_IN = (
         502,
--- /dev/null
+++ b/src/carobslip/processes/_entry_slots.py
@@ -0,0 +1,109 @@
+"""Assembles what an entry needs to ask for slots and to assign them."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from carobslip import (
+    control,
+    directory,
+    fleet,
+    forwarding,
+    identifiers,
+    slotbroker,
+    targets,
+    tasks,
+)
+from carobslip.processes import (
+    _slot_brokers,
+    _slot_exchange,
+    _slot_outbox,
+    _slot_server,
+)
+
+
+class EntrySlots:
+    """Asks for slots of contended services, and assigns them as a broker.
+
+    Args:
+        member: This process in the fleet.
+        candidates: Returns the targets that may be used for a service.
+        cold_rps: Returns the requests a second that a cold target of a service
+            may get; 0 for no bound.
+        entries: Returns the entries that are alive, this one included.
+        context: Clock, random generator, log and metrics.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: fleet.FleetMember,
+        candidates: Callable[
+            [identifiers.ServiceId],
+            Sequence[targets.TargetRecord],
+        ],
+        cold_rps: Callable[[identifiers.ServiceId], float],
+        entries: Callable[[], Iterable[directory.InstanceRecord]],
+        context: forwarding.ProcessContext,
+    ) -> None:
+        clock, log, metrics = context.clock, context.log, context.metrics
+        self._table = member.table
+        self._supervisor = tasks.Supervisor(log=log, metrics=metrics)
+        self.server = _slot_server.SlotServer(
+            broker=slotbroker.SlotBroker(
+                candidates=candidates,
+                pacing=slotbroker.TargetPace(
+                    cold_rps=cold_rps,
+                    clock=clock,
+                    log=log,
+                    metrics=metrics,
+                ),
+                clock=clock,
+                generator=context.generator,
+                log=log,
+                metrics=metrics,
+            ),
+            node=member.node,
+            is_current=member.pause_detector.is_current,
+            supervisor=self._supervisor,
+            clock=clock,
+            log=log,
+            metrics=metrics,
+        )
+        self._choice = _slot_brokers.BrokerChoice(
+            entries=entries,
+            clock=clock,
+            log=log,
+            metrics=metrics,
+        )
+        self.port = _slot_exchange.SlotExchange(
+            node=member.node,
+            data_centre=member.record.data_centre,
+            choice=self._choice,
+            server=self.server,
+            outbox=_slot_outbox.SlotOutbox(
+                node=member.node,
+                supervisor=self._supervisor,
+                log=log,
+                metrics=metrics,
+            ),
+            clock=clock,
+            generator=context.generator,
+            log=log,
+            metrics=metrics,
+        )
+        member.on_members = self._on_members
+
+    async def close(self) -> None:
+        """Ends all messages and decisions."""
+        self.server.close()
+        await self._supervisor.close()
+
+    def _on_members(self) -> None:
+        self._choice.note_members_changed()
+        # Entries that leave, or may be dead, still have requests at targets.
+        self.server.drop_entries(
+            {
+                update.record.instance
+                for update in self._table
+                if update.state is not control.MemberState.DEAD
+            }
+        )
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -25,7 +25,8 @@
 from carobslip.processes import (
     _crash_exchange,
     _drain,
-    _group_load,
+    _entry_slots,
+    _load_reception,
     _permit_exchange,
 )
 
@@ -117,7 +118,6 @@
         self.metrics = metrics
         self._connect = connect
         self._stop_began_ms: float | None = None
-        self._groups: dict[identifiers.GroupId, bool] = {}
 
     async def start(self) -> None:
         """Refuses requests at first; serves them once the fleet is known."""
@@ -146,6 +146,19 @@
             started_ms=self.clock.now_ms(),
         )
         self._crash_watch = self._watch_crashes(adapters.target_port)
+        context = forwarding.ProcessContext(
+            clock=self.clock,
+            generator=generator,
+            log=self.log,
+            metrics=self.metrics,
+        )
+        self._slots = _entry_slots.EntrySlots(
+            member=self.member,
+            candidates=lambda service: self.forwarder.candidates(service),
+            cold_rps=lambda service: self.forwarder.cold_rps(service),
+            entries=self._alive_entries,
+            context=context,
+        )
         self.forwarder = forwarding.Forwarder(
             holder=self.member.holder,
             registry=self.book,
@@ -159,23 +172,24 @@
             shared=forwarding.SharedLimits(
                 budget=self._budget,
                 permits=self._share_rates(),
+                slots=self._slots.port,
             ),
             crash_watch=self._crash_watch,
-            context=forwarding.ProcessContext(
-                clock=self.clock,
-                generator=generator,
-                log=self.log,
-                metrics=self.metrics,
-            ),
+            context=context,
+        )
+        _load_reception.GroupLoadReceiver(
+            node=self.member.node,
+            registry=self.book,
+            loads=self.loads,
+            forwarder=self.forwarder,
+            server=self._slots.server,
+            entries=self._count_entries,
+            log=self.log,
         )
-        self._rank_addresses = _group_load.RankAddressCache()
         self.member.on_configuration = self.forwarder.apply_configuration
         self.member.node.register_handler(
             control.FetchTargets, self._answer_targets
         )
-        self.member.node.register_handler(
-            control.GroupLoad, self._on_group_load
-        )
         self._stop_serving = await adapters.serve(self)
         self._supervisor.keep_running(self._follow_target_list)
         self._supervisor.run_to_end(self._join)
@@ -205,6 +219,7 @@
         await self._stop_serving()
         await self._supervisor.close()
         await self._crash_exchange.close()
+        await self._slots.close()
         await self.member.close()
 
     def apply_bounds(
@@ -427,28 +442,11 @@
     def _on_targets_changed(self) -> None:
         listed = [record.target for record in self.book.records]
         self.loads.drop_unlisted(listed)
+        self._slots.server.drop_unlisted(listed)
         self.forwarder.stalls.drop_unlisted(listed)
         self.forwarder.admission.permits.drop_unlisted(listed)
         self.forwarder.admission.recheck_queues()
 
-    def _update_stall(
-        self,
-        load: control.GroupLoad,
-        members: list[identifiers.TargetId],
-    ) -> None:
-        self.forwarder.stalls.store_report(members, is_stalled=not load.is_open)
-        if self._groups.get(load.group) is not load.is_open:
-            self._groups[load.group] = load.is_open
-            for target in members if load.is_open else ():
-                # Targets that failed because the group stalled work again.
-                self.loads.clear_failures(target)
-            self.log.write(
-                observability.Event.GROUP_CHANGED,
-                group=load.group,
-                is_open=load.is_open,
-                targets=len(members),
-            )
-
     async def _answer_targets(
         self,
         request: control.FetchTargets,
@@ -460,32 +458,3 @@
                 revision=self.book.revision,
             ),
         )
-
-    async def _on_group_load(
-        self,
-        load: control.GroupLoad,
-        origin: control.Origin,
-    ) -> control.Noted:
-        by_address = {
-            record.address: record.target for record in self.book.records
-        }
-        addresses = self._rank_addresses.take(load)
-        if addresses is None:
-            return control.Noted(is_missing_data=True)
-        members = []
-        for address, requests in zip(addresses, load.requests, strict=True):
-            target = by_address.get(address)
-            if target is None:
-                continue
-            members.append(target)
-            self.loads.store_report(
-                target,
-                requests,
-                valid_ms=load.valid_ms,
-                sharers=self._count_entries(),
-            )
-            if not load.is_open:
-                self.loads.avoid(target, load.avoid_ms)
-        self._update_stall(load, members)
-        self.forwarder.admission.recheck_queues()
-        return control.Noted()
