--- a/src/carobslip/forwarding/_slot_source.py
+++ b/src/carobslip/forwarding/_slot_source.py
@@ -174,22 +174,18 @@
         """Waits for a slot; the caller must return it with ``release``."""
         if demand.service not in self._contended():
             return await self._own.admit(demand)
-        for _attempt in range(_GRANTS_MAX):
-            if self.is_closed and not demand.may_have_run:
-                break
+        grants = 0
+        while grants < _GRANTS_MAX and not self._is_closed_for(demand):
             assignment = await self._ask(demand)
-            if assignment is None:
-                break
             decision = assignment.decision
             if isinstance(decision, slotbroker.SlotRefused):
                 return self._refuse(demand, assignment, decision)
             if decision is None:
-                _note(demand, assignment, 'unanswered')
-                self._metrics.count('slots.unanswered')
                 break
             place = self._use(demand, assignment, decision)
             if place is not None:
                 return place
+            grants += 1
             demand = msgspec.structs.replace(
                 demand, excluded=demand.excluded | {decision.target}
             )
@@ -215,10 +211,11 @@
         """Rechecks the queues of requests that no broker decides on."""
         self._own.recheck_queues()
 
-    async def _ask(
-        self, demand: _admission.Demand
-    ) -> _slot_ports.Assignment | None:
-        """Returns the broker's decision; None if the entry was closed."""
+    def _is_closed_for(self, demand: _admission.Demand) -> bool:
+        return self.is_closed and not demand.may_have_run
+
+    async def _ask(self, demand: _admission.Demand) -> _slot_ports.Assignment:
+        """Returns the decision; without one if no broker decides."""
         asked = self._slot_demand(demand)
         trace = demand.trace
         if trace is not None:
@@ -235,7 +232,13 @@
             raise
         finally:
             self._questions.pop(question)
-        return None if question.cancelled() else question.result()
+        assignment = _slot_ports.Assignment(decision=None)
+        if not question.cancelled():
+            assignment = question.result()
+        if assignment.decision is None:
+            _note(demand, assignment, 'unanswered')
+            self._metrics.count('slots.unanswered')
+        return assignment
 
     def _return_unused(
         self, question: asyncio.Task[_slot_ports.Assignment]
@@ -302,7 +305,7 @@
             fault = 'the grant may be too old'
         elif known is None:
             fault = 'the target is not usable here'
-        elif self.is_closed and not demand.may_have_run:
+        elif self._is_closed_for(demand):
             fault = 'no new requests'
         if known is None or fault:
             _note(demand, assignment, 'unusable')
--- a/src/carobslip/processes/_entry_slots.py
+++ b/src/carobslip/processes/_entry_slots.py
@@ -50,12 +50,7 @@
         self.server = _slot_server.SlotServer(
             broker=slotbroker.SlotBroker(
                 candidates=candidates,
-                pacing=slotbroker.TargetPace(
-                    cold_rps=cold_rps,
-                    clock=clock,
-                    log=log,
-                    metrics=metrics,
-                ),
+                pacing=_Unpaced(),
                 clock=clock,
                 generator=context.generator,
                 log=log,
@@ -107,3 +102,20 @@
                 if update.state is not control.MemberState.DEAD
             }
         )
+
+
+class _Unpaced:
+    """Allows every start."""
+
+    def allows(self, record: targets.TargetRecord) -> bool:
+        """Returns True."""
+        return True
+
+    def note_start(self, record: targets.TargetRecord) -> None:
+        """Does nothing."""
+
+    def note_outcome(self, outcome: slotbroker.SlotOutcome) -> None:
+        """Does nothing."""
+
+    def drop_unlisted(self, listed: Iterable[identifiers.TargetId]) -> None:
+        """Does nothing."""
--- a/src/carobslip/processes/_slot_outbox.py
+++ b/src/carobslip/processes/_slot_outbox.py
@@ -55,7 +55,8 @@
         self._send(address, control.WithdrawSlot(ticket=ticket))
 
     def _send_released(self) -> None:
-        released, self._released = self._released, {}
+        released = self._released
+        self._released = {}
         for address, outcomes in released.items():
             for begin in range(0, len(outcomes), _SLOTS_MAX):
                 batch = tuple(outcomes[begin : begin + _SLOTS_MAX])
