--- a/src/carobslip/forwarding/_slot_source.py
+++ b/src/carobslip/forwarding/_slot_source.py
@@ -237,7 +237,7 @@
             assignment = question.result()
         if assignment.decision is None:
             _note(demand, assignment, 'unanswered')
-            self._metrics.count('slots.unanswered')
+            self._metrics.count('brokered.unanswered')
         return assignment
 
     def _return_unused(
@@ -309,7 +309,7 @@
             fault = 'no new requests'
         if known is None or fault:
             _note(demand, assignment, 'unusable')
-            self._metrics.count('slots.unusable')
+            self._metrics.count('brokered.unusable')
             self._log.write(
                 observability.Event.GRANT_NOT_USED,
                 ticket=granted.ticket,
@@ -322,7 +322,7 @@
             self._return(assignment, granted, now_ms, _slot_ports.UNUSED)
             return None
         _note(demand, assignment, 'granted', granted.lease)
-        self._metrics.count('slots.granted')
+        self._metrics.count('brokered.granted')
         place = msgspec.structs.replace(known)
         self._leases[id(place)] = _Lease(
             place=place,
@@ -369,7 +369,7 @@
         refused: slotbroker.SlotRefused,
     ) -> _admission.Refusal:
         _note(demand, assignment, 'refused')
-        self._metrics.count('slots.refused')
+        self._metrics.count('brokered.refused')
         return _admission.Refusal(
             reason=refused.reason,
             retry_after_ms=math.ceil(refused.retry_after_ms),
--- a/src/carobslip/processes/_slot_brokers.py
+++ b/src/carobslip/processes/_slot_brokers.py
@@ -74,7 +74,7 @@
         self.note_members_changed()
         until_ms = self._clock.now_ms() + _SILENT_MS
         self._silent[service] = (broker.instance, until_ms)
-        self._metrics.count('slots.broker_silent')
+        self._metrics.count('brokered.broker_silent')
         self._log.write(
             observability.Event.BROKER_SILENT,
             service=service,
@@ -97,7 +97,7 @@
         self._chosen[service] = broker
         self._valid_until_ms[service] = self._clock.now_ms() + _CHOICE_VALID_MS
         if _name(previous) != _name(broker):
-            self._metrics.count('slots.broker_changed')
+            self._metrics.count('brokered.broker_changed')
             self._log.write(
                 observability.Event.BROKER_CHANGED,
                 service=service,
--- a/src/carobslip/processes/_slot_exchange.py
+++ b/src/carobslip/processes/_slot_exchange.py
@@ -194,7 +194,7 @@
         """Asks a broker once; tells whether it answered."""
         asked_ms = self._clock.now_ms()
         demand = waiter.demand_at(asked_ms)
-        self._metrics.count('slots.asked')
+        self._metrics.count('brokered.asked')
         if broker.instance == self.instance:
             self._accept(waiter, broker, self._server.ask(demand), asked_ms)
             return True
@@ -284,7 +284,7 @@
         address: str,
     ) -> None:
         """Returns a slot that no request waits for any longer."""
-        self._metrics.count('slots.late_grants')
+        self._metrics.count('brokered.late_grants')
         self._log.write(
             observability.Event.GRANT_NOT_USED,
             ticket=granted.ticket,
--- a/src/carobslip/processes/_slot_outbox.py
+++ b/src/carobslip/processes/_slot_outbox.py
@@ -113,7 +113,7 @@
         message: control.ReleaseSlots | control.WithdrawSlot,
         fault: str,
     ) -> None:
-        self._metrics.count('slots.not_returned')
+        self._metrics.count('brokered.not_returned')
         self._log.write(
             observability.Event.SLOTS_NOT_RETURNED,
             address=address,
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -4,6 +4,8 @@
 import contextlib
 import random
 
+import msgspec
+
 from carobslip import (
     clocks,
     configuration,
@@ -190,6 +192,25 @@
     return configuration.Forwarding(**{**content, **changes})
 
 
+def contended_table():
+    """Returns a table whose streams differ in priority."""
+    plain = table()
+    return table(
+        routes=tuple(
+            msgspec.structs.replace(route, priority=2)
+            if route.name == 'note'
+            else route
+            for route in plain.routes
+        ),
+        services=(
+            configuration.ForwardedService(
+                service=SERVICE, engine=configuration.EngineFigures(slots=4)
+            ),
+            configuration.ForwardedService(service=DESK),
+        ),
+    )
+
+
 class Entry:
     """A forwarder with fakes around it, on the loop's clock.
 
@@ -206,6 +227,7 @@
         slots=4,
         age_s=60,
         port=None,
+        slots_port=None,
     ):
         self.clock = clocks.LoopClock(epoch_ms=0)
         self.log = observability.EventLog()
@@ -263,6 +285,7 @@
                     port=self.permit_port,
                     clock=self.clock,
                 ),
+                slots=slots_port,
             ),
             context=forwarding.ProcessContext(
                 clock=self.clock,
