--- a/src/carobslip/processes/_entry_slots.py
+++ b/src/carobslip/processes/_entry_slots.py
@@ -76,6 +76,7 @@
             server=self.server,
             outbox=_slot_outbox.SlotOutbox(
                 node=member.node,
+                is_member=self._is_member,
                 supervisor=self._supervisor,
                 log=log,
                 metrics=metrics,
@@ -96,13 +97,21 @@
         self._choice.note_members_changed()
         # Entries that leave, or may be dead, still have requests at targets.
         self.server.drop_entries(
-            {
-                update.record.instance
-                for update in self._table
-                if update.state is not control.MemberState.DEAD
-            }
+            {record.instance for record in self._members()}
         )
 
+    def _is_member(self, address: str) -> bool:
+        return any(
+            record.control_address == address for record in self._members()
+        )
+
+    def _members(self) -> list[directory.InstanceRecord]:
+        return [
+            update.record
+            for update in self._table
+            if update.state is not control.MemberState.DEAD
+        ]
+
 
 class _Unpaced:
     """Allows every start."""
--- a/src/carobslip/processes/_slot_outbox.py
+++ b/src/carobslip/processes/_slot_outbox.py
@@ -1,6 +1,7 @@
 """Tells brokers which slots and requests they need not keep any longer."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from carobslip import control, observability, slotbroker, tasks
@@ -24,6 +25,7 @@
 
     Args:
         node: Sends control messages.
+        is_member: Tells whether the entry at an address may still run.
         supervisor: Runs the tasks that send.
         log: Receives messages that were given up.
         metrics: Counts them.
@@ -33,11 +35,13 @@
         self,
         *,
         node: control.Node,
+        is_member: Callable[[str], bool],
         supervisor: tasks.Supervisor,
         log: observability.EventLog,
         metrics: observability.Metrics,
     ) -> None:
         self._node = node
+        self._is_member = is_member
         self._supervisor = supervisor
         self._log = log
         self._metrics = metrics
@@ -83,7 +87,7 @@
         try:
             for pause_s in (*_PAUSES_S, 0.0):
                 fault = await self._deliver(address, message)
-                if not fault:
+                if not fault or not self._is_member(address):
                     return
                 await asyncio.sleep(pause_s)
         finally:
--- a/tests/fakes/slot_entries.py
+++ b/tests/fakes/slot_entries.py
@@ -158,6 +158,9 @@
             server=self.server,
             outbox=_slot_outbox.SlotOutbox(
                 node=self.node,
+                is_member=lambda address: any(
+                    record.control_address == address for record in self.members
+                ),
                 supervisor=supervisor,
                 log=self.log,
                 metrics=observability.NoMetrics(),
