--- a/src/carobslip/processes/_entry_slots.py
+++ b/src/carobslip/processes/_entry_slots.py
@@ -28,7 +28,6 @@
         candidates: Returns the targets that may be used for a service.
         cold_rps: Returns the requests a second that a cold target of a service
             may get; 0 for no bound.
-        entries: Returns the entries that are alive, this one included.
         context: Clock, random generator, log and metrics.
     """
 
@@ -41,7 +40,6 @@
             Sequence[targets.TargetRecord],
         ],
         cold_rps: Callable[[identifiers.ServiceId], float],
-        entries: Callable[[], Iterable[directory.InstanceRecord]],
         context: forwarding.ProcessContext,
     ) -> None:
         clock, log, metrics = context.clock, context.log, context.metrics
@@ -64,7 +62,8 @@
             metrics=metrics,
         )
         self._choice = _slot_brokers.BrokerChoice(
-            entries=entries,
+            entries=member.fleet.entries,
+            is_suspect=self._is_suspect,
             clock=clock,
             log=log,
             metrics=metrics,
@@ -100,6 +99,11 @@
             {record.instance for record in self._members()}
         )
 
+    def _is_suspect(self, instance: identifiers.InstanceId) -> bool:
+        known = self._table.find(instance)
+        suspect = control.MemberState.SUSPECT
+        return known is not None and known.state is suspect
+
     def _is_member(self, address: str) -> bool:
         return any(
             record.control_address == address for record in self._members()
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -156,7 +156,6 @@
             member=self.member,
             candidates=lambda service: self.forwarder.candidates(service),
             cold_rps=lambda service: self.forwarder.cold_rps(service),
-            entries=self._alive_entries,
             context=context,
         )
         self.forwarder = forwarding.Forwarder(
--- a/src/carobslip/processes/_slot_brokers.py
+++ b/src/carobslip/processes/_slot_brokers.py
@@ -15,6 +15,9 @@
 _CHOICE_VALID_MS: Final = 100.0
 #: A broker that did not answer is not asked again for this time.
 _SILENT_MS: Final = 500.0
+#: A suspect that did not answer is not chosen for this time, which covers the
+#: decision whether it has ended.
+_SUSPECT_SILENT_MS: Final = 2000.0
 
 
 class BrokerChoice:
@@ -23,7 +26,9 @@
     Entries that know the same members choose the same one by hashing.
 
     Args:
-        entries: Returns the entries that are alive, this one included.
+        entries: Returns the entries that may be brokers, this one included.
+        is_suspect: Tells whether an entry is presumed to have ended, without
+            certainty.
         clock: Monotonic time.
         log: Receives changes of the broker.
         metrics: Counts them.
@@ -33,11 +38,13 @@
         self,
         *,
         entries: Callable[[], Iterable[directory.InstanceRecord]],
+        is_suspect: Callable[[identifiers.InstanceId], bool],
         clock: clocks.Clock,
         log: observability.EventLog,
         metrics: observability.Metrics,
     ) -> None:
         self._entries = entries
+        self._is_suspect = is_suspect
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -59,10 +66,8 @@
         broker = self._chosen[service]
         if broker is None:
             return None
-        silent, until_ms = self._silent.get(service, (None, 0.0))
-        if silent == broker.instance and now_ms < until_ms:
-            return None
-        return broker
+        is_silent = self._was_silent(service, broker, _SILENT_MS)
+        return None if is_silent else broker
 
     def note_silent(
         self,
@@ -72,8 +77,7 @@
     ) -> None:
         """Records that the broker of a service did not answer."""
         self.note_members_changed()
-        until_ms = self._clock.now_ms() + _SILENT_MS
-        self._silent[service] = (broker.instance, until_ms)
+        self._silent[service] = (broker.instance, self._clock.now_ms())
         self._metrics.count('brokered.broker_silent')
         self._log.write(
             observability.Event.BROKER_SILENT,
@@ -87,9 +91,28 @@
         """Makes the next choice depend on the present members."""
         self._valid_until_ms.clear()
 
+    def _was_silent(
+        self,
+        service: identifiers.ServiceId,
+        entry: directory.InstanceRecord,
+        within_ms: float,
+    ) -> bool:
+        silent, noted_ms = self._silent.get(service, (None, 0.0))
+        if silent != entry.instance:
+            return False
+        return self._clock.now_ms() - noted_ms < within_ms
+
     def _choose(self, service: identifiers.ServiceId) -> None:
+        # All others may still ask a suspect entry; so does this one until the
+        # suspect leaves a question of its own unanswered.
+        usable = [
+            entry
+            for entry in self._entries()
+            if not self._is_suspect(entry.instance)
+            or not self._was_silent(service, entry, _SUSPECT_SILENT_MS)
+        ]
         broker = min(
-            self._entries(),
+            usable,
             key=lambda entry: hashing.digest_names(service, entry.instance),
             default=None,
         )
--- a/tests/fakes/slot_entries.py
+++ b/tests/fakes/slot_entries.py
@@ -149,7 +149,9 @@
             **common,
         )
         self.choice = _slot_brokers.BrokerChoice(
-            entries=lambda: self.members, **common
+            entries=lambda: self.members,
+            is_suspect=lambda name: name in fleet.suspects,
+            **common,
         )
         self.exchange = _slot_exchange.SlotExchange(
             node=self.node,
@@ -216,6 +218,7 @@
             for number in range(count)
         ]
         self.members = []
+        self.suspects = set()
         self.sent = collections.Counter()
         self.network.observe = self._observe
         self.lost = collections.Counter()
--- a/tests/test_slot_exchange.py
+++ b/tests/test_slot_exchange.py
@@ -89,6 +89,19 @@
     host.run_virtual(scenario())
 
 
+@host.virtual
+async def test_suspicion_alone_does_not_split_the_queue():
+    fleet = slot_entries.SlotFleet(count=3)
+    broker, one, _two = await fleet.start()
+    fleet.suspects.add(broker.record.instance)
+    one.choice.note_members_changed()
+    assert one.choice.find(slot_entries.SERVICE) == broker.record
+    _cut_off(fleet, broker)
+    await wait_for(one.ask(), 0.2)
+    assert one.choice.find(slot_entries.SERVICE) in fleet.members
+    assert one.choice.find(slot_entries.SERVICE) != broker.record
+
+
 @host.virtual
 async def test_requests_that_wait_at_a_broker_that_ends_are_asked_at_the_next():
     fleet = slot_entries.SlotFleet(count=2)
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 from users_platform import (
+    callers,
     configuration_source,
     connections,
     documents,
@@ -463,6 +464,50 @@
         await _read(calls, address)
 
 
+@pytest.mark.parametrize(
+    ('urgency', 'sent'), [(None, ['99']), (0, ['0']), (2, ['2'])]
+)
+async def test_engine_learns_the_urgency_only_from_carobslip(
+    engine, urgency, sent
+):
+    calls, address, script, received = engine
+    script.update(raw=ANSWERS['complete'][0], end='kept')
+    plain = _call(address)
+    call = msgspec.structs.replace(
+        plain,
+        request=msgspec.structs.replace(
+            plain.request,
+            headers=(*plain.request.headers, ('x-request-urgency', '99')),
+        ),
+        urgency=urgency,
+    )
+    async with calls.call(call):
+        lines = (await received.get()).decode().lower().splitlines()
+    prefix = 'x-request-urgency: '
+    assert [one for one in lines if one.startswith(prefix)] == [
+        f'{prefix}{number}' for number in sent
+    ]
+
+
+HINTS = {
+    None: 0,
+    '': 0,
+    ' 120 ': 120,
+    '-1': 0,
+    '1.5': 0,
+    '\u0663': 0,
+    f'{2**31}': 2**31,
+    f'{2**31 + 1}': 0,
+    '9' * 5000: 0,
+}
+
+
+@pytest.mark.parametrize('text', HINTS)
+def test_length_hint_that_is_no_small_number_is_ignored(text):
+    assert callers._length_hint_of(text) == HINTS[text]
+    assert headers.for_target([('X-Length-Hint', text)])
+
+
 # name: (body of a report, whether the engine has ended)
 REPORTS = {
     'the start that is listed': ({'born': 7}, False),
