--- a/src/carobslip/processes/_entry_slots.py
+++ b/src/carobslip/processes/_entry_slots.py
@@ -1,6 +1,6 @@
 """Assembles what an entry needs to ask for slots and to assign them."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 from carobslip import (
     control,
@@ -48,7 +48,12 @@
         self.server = _slot_server.SlotServer(
             broker=slotbroker.SlotBroker(
                 candidates=candidates,
-                pacing=_Unpaced(),
+                pacing=slotbroker.TargetPace(
+                    cold_rps=cold_rps,
+                    clock=clock,
+                    log=log,
+                    metrics=metrics,
+                ),
                 clock=clock,
                 generator=context.generator,
                 log=log,
@@ -115,20 +120,3 @@
             for update in self._table
             if update.state is not control.MemberState.DEAD
         ]
-
-
-class _Unpaced:
-    """Allows every start."""
-
-    def allows(self, record: targets.TargetRecord) -> bool:
-        """Returns True."""
-        return True
-
-    def note_start(self, record: targets.TargetRecord) -> None:
-        """Does nothing."""
-
-    def note_outcome(self, outcome: slotbroker.SlotOutcome) -> None:
-        """Does nothing."""
-
-    def drop_unlisted(self, listed: Iterable[identifiers.TargetId]) -> None:
-        """Does nothing."""
--- a/src/carobslip/slotbroker/__init__.py
+++ b/src/carobslip/slotbroker/__init__.py
@@ -2,6 +2,7 @@
 
 from carobslip.slotbroker._broker import SlotBroker
 from carobslip.slotbroker._ports import TargetPacing
+from carobslip.slotbroker._target_pace import TargetPace
 from carobslip.slotbroker._types import (
     EXCLUDED_MAX,
     SlotDemand,
@@ -21,5 +22,6 @@
     'SlotQueued',
     'SlotRefused',
     'SlotResult',
+    'TargetPace',
     'TargetPacing',
 ]
