--- a/src/carobslip/adapters/control_nng.py
+++ b/src/carobslip/adapters/control_nng.py
@@ -17,6 +17,10 @@
 #: Answers to one peer that may wait to be sent. Further requests of a peer that
 #: reads no answers are dropped, so that it cannot occupy all workers.
 _UNSENT_MAX: Final = 4
+#: Requests of one peer that arrive together wait this often, and this long, for
+#: the answers before them. Several requests for slots arrive at once.
+_BURST_WAITS: Final = 4
+_BURST_WAIT_S: Final = 0.005
 #: Timeout for sending an answer, which is then dropped: the request of the peer
 #: has timed out by then, and other requests wait for the worker.
 _SEND_TIMEOUT_S: Final = 1.0
@@ -135,7 +139,7 @@
     async def _answer_one(self, context: Any, handler: control.Handler) -> None:
         message = await context.arecv_msg()
         peer = 0 if message.pipe is None else message.pipe.id
-        if self._unsent[peer] >= _UNSENT_MAX:
+        if not await self._may_answer(peer):
             self.dropped_total += 1
             return
         frame = message.bytes
@@ -154,6 +158,14 @@
             if not self._unsent[peer]:
                 self._unsent.pop(peer)
 
+    async def _may_answer(self, peer: int) -> bool:
+        """Tells whether a peer reads its answers, after a short wait."""
+        waits = 0
+        while self._unsent[peer] >= _UNSENT_MAX and waits < _BURST_WAITS:
+            await asyncio.sleep(_BURST_WAIT_S)
+            waits += 1
+        return self._unsent[peer] < _UNSENT_MAX
+
     def _socket(self, address: str) -> Any:
         socket = self._sockets.get(address)
         if socket is None:
--- a/tests/test_control_transport.py
+++ b/tests/test_control_transport.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+import time
 
 import pytest
 
@@ -73,6 +74,27 @@
     await server.close()
 
 
+async def test_requests_that_arrive_together_are_all_answered():
+    address = free_address()
+    server = control_nng.NngTransport()
+    client = control_nng.NngTransport()
+
+    async def handle(frame):
+        return frame
+
+    await server.serve(address, handle)
+    await client.call(address, b'first', 1000)
+    # All wait until the server reads them in one turn.
+    calls = [client.call(address, b'%d' % number, 500) for number in range(16)]
+    asked = asyncio.gather(*calls)
+    await asyncio.sleep(0)
+    time.sleep(0.1)  # noqa: ASYNC251
+    assert await asked == [b'%d' % number for number in range(16)]
+    assert server.dropped_total == 0
+    await client.close()
+    await server.close()
+
+
 async def test_call_fails_as_unreachable_when_its_connection_is_evicted():
     address = free_address()
     server = control_nng.NngTransport()
