--- a/tests/test_slot_exchange.py
+++ b/tests/test_slot_exchange.py
@@ -5,16 +5,22 @@
 """
 
 import asyncio
+import random
+import types
 
 import pytest
 
 from carobslip import (
     control,
+    directory,
     forwarding,
+    identifiers,
+    membership,
     observability,
     slotbroker,
     verdicts,
 )
+from carobslip.processes import _entry_slots
 from tests.fakes import forwarding as fakes
 from tests.fakes import host, slot_entries, virtual
 
@@ -355,3 +361,73 @@
             assert entry.loads.own_requests(record.target) == 0
 
     virtual.run(scenario)
+
+
+@host.virtual
+async def test_slots_are_kept_for_an_entry_that_leaves_until_it_has_ended():
+    fleet = slot_entries.SlotFleet(entries=2)
+    own, other = fleet.entries
+    member = _Member(own, other.record)
+    slots = _entry_slots.EntrySlots(
+        member=member,
+        candidates=lambda _service: fleet.records,
+        cold_rps=lambda _service: 0,
+        context=forwarding.ProcessContext(
+            clock=own.clock,
+            generator=random.Random(1),
+            log=own.log,
+            metrics=observability.NoMetrics(),
+        ),
+    )
+    granted = slots.server.ask(_demand(other, ticket='other'))
+    assert isinstance(granted, slotbroker.SlotGranted)
+    member.update(other.record, control.MemberState.LEAVING)
+    waiting = asyncio.ensure_future(slots.port.acquire(_demand(own)))
+    await asyncio.sleep(0.1)
+    assert not waiting.done()
+    member.update(other.record, control.MemberState.DEAD)
+    assignment = await wait_for(waiting, 0.05)
+    assert isinstance(assignment.decision, slotbroker.SlotGranted)
+    await slots.close()
+
+
+def _demand(entry, ticket='own'):
+    return slotbroker.SlotDemand(
+        ticket=ticket,
+        service=slot_entries.SERVICE,
+        entry=entry.record.instance,
+        data_centre=entry.record.data_centre,
+        priority=0,
+        on_time_left_ms=1000,
+        wait_left_ms=1000,
+        patience_left_ms=8000,
+    )
+
+
+class _Member:
+    """What an entry knows of itself and of another one."""
+
+    def __init__(self, own, other):
+        self.record = own.record
+        self.node = own.node
+        self.pause_detector = types.SimpleNamespace(is_current=lambda: True)
+        self.on_members = lambda: None
+        self.table = membership.MemberTable(
+            own=self._update(own.record, control.MemberState.ALIVE),
+            on_changed=lambda _update: self.on_members(),
+        )
+        self.fleet = directory.Directory(is_usable=self.table.is_usable)
+        for record in (own.record, other):
+            self.fleet.add(record)
+            self.table.add_listed(record)
+
+    def _update(self, record, state):
+        return control.MemberUpdate(
+            record=record,
+            incarnation=identifiers.Incarnation(1),
+            counter=0,
+            state=state,
+        )
+
+    def update(self, record, state):
+        self.table.merge(self._update(record, state))
