--- a/tests/fakes/slot_load.py
+++ b/tests/fakes/slot_load.py
@@ -67,7 +67,10 @@
         if now > self.end_ms:
             return
         self.at(
-            now + self.callers_random.expovariate(1) * 1000 / self.rate(priority, now),
+            now
+            + self.callers_random.expovariate(1)
+            * 1000
+            / self.rate(priority, now),
             self._arrive,
             priority,
         )
@@ -79,7 +82,8 @@
         events = max(
             1,
             round(
-                MEAN_EVENTS * self.callers_random.lognormvariate(-(SIGMA**2) / 2, SIGMA)
+                MEAN_EVENTS
+                * self.callers_random.lognormvariate(-(SIGMA**2) / 2, SIGMA)
             ),
         )
         caller = {
@@ -88,7 +92,8 @@
             'events': events,
             'arrived': now,
             'outcome': 'refused',
-            'tries': 0, 'first': self.callers_random.uniform(0, 100),
+            'tries': 0,
+            'first': self.callers_random.uniform(0, 100),
             'digest': len(self.callers) + 1,
             'entry': self.callers_random.randrange(self.entries),
         }
--- a/tests/test_slot_exchange.py
+++ b/tests/test_slot_exchange.py
@@ -382,7 +382,9 @@
     granted = slots.server.ask(_demand(other, ticket='other'))
     assert isinstance(granted, slotbroker.SlotGranted)
     member.update(other.record, control.MemberState.LEAVING)
-    waiting = asyncio.ensure_future(slots.port.acquire(_demand(own)))
+    waiting = asyncio.ensure_future(
+        slots.port.acquire(_demand(own, may_have_run=True))
+    )
     await asyncio.sleep(0.1)
     assert not waiting.done()
     member.update(other.record, control.MemberState.DEAD)
@@ -391,7 +393,7 @@
     await slots.close()
 
 
-def _demand(entry, ticket='own'):
+def _demand(entry, ticket='own', **changes):
     return slotbroker.SlotDemand(
         ticket=ticket,
         service=slot_entries.SERVICE,
@@ -401,6 +403,7 @@
         on_time_left_ms=1000,
         wait_left_ms=1000,
         patience_left_ms=8000,
+        **changes,
     )
 
 
