--- a/tests/test_slot_exchange.py
+++ b/tests/test_slot_exchange.py
@@ -77,7 +77,13 @@
             fleet.network.cut(entry.host.name, broker.host.name)
 
 
-@pytest.mark.parametrize('fail', [_refuse_as_older_version, _cut_off])
+def _wake_from_pause(fleet, broker):
+    broker.server._is_current = lambda: False
+
+
+@pytest.mark.parametrize(
+    'fail', [_refuse_as_older_version, _cut_off, _wake_from_pause]
+)
 def test_entry_decides_itself_while_the_broker_is_silent(fail):
     async def scenario():
         fleet = slot_entries.SlotFleet(count=3)
@@ -218,6 +224,36 @@
     assert not broker.broker.leases
 
 
+@host.virtual
+async def test_message_that_arrives_twice_does_not_return_a_slot_in_use():
+    fleet = slot_entries.SlotFleet()
+    broker, one, two = await fleet.start()
+    fleet.network.repeat_ratio = 1.0
+    place = await wait_for(one.ask(), 0.01)
+    waiting = two.ask()
+    await asyncio.sleep(0.3)
+    one.admission.release(place)
+    await wait_for(waiting, 0.01)
+    await asyncio.sleep(0.5)
+    assert len(broker.broker.leases) == 1
+
+
+@host.virtual
+async def test_request_waits_at_one_broker_only():
+    fleet = slot_entries.SlotFleet()
+    broker, one, two = await fleet.start()
+    await wait_for(one.ask(), 0.01)
+    waiting = one.ask()
+    await asyncio.sleep(0.05)
+    one.members = [two.record]
+    one.choice.note_members_changed()
+    two.broker.free.clear()
+    await asyncio.sleep(0.4)
+    assert len(two.broker.queue) == 1
+    assert not broker.broker.queue
+    assert not waiting.done()
+
+
 @host.virtual
 async def test_request_whose_caller_left_is_not_started():
     fleet = slot_entries.SlotFleet()
@@ -266,6 +302,7 @@
     one.loads.avoid('t0', 500)
     place = await wait_for(one.ask(), 0.01)
     assert place.target == 't1'
+    assert not one.events(Event.GRANT_NOT_USED)
     waiting = one.ask(wait_ms=200)
     await asyncio.sleep(0.05)
     one.loads.avoid('t1', 500)
@@ -283,6 +320,7 @@
     def __init__(self):
         self.demands = []
         self.granted = 0
+        self.has_granted = asyncio.Event()
         self.outcomes = []
 
     def new_ticket(self):
@@ -292,6 +330,7 @@
         self.demands.append(demand)
         await asyncio.sleep(0.2)
         self.granted += 1
+        self.has_granted.set()
         names = {'drafts-0', 'drafts-1'} - set(demand.excluded)
         return forwarding.Assignment(
             decision=slotbroker.SlotGranted(
@@ -336,6 +375,24 @@
     virtual.run(scenario)
 
 
+@pytest.mark.parametrize('turns', range(5))
+def test_slot_is_returned_if_the_caller_leaves_as_it_is_granted(turns):
+    async def scenario():
+        port = FakeSlotPort()
+        entry = fakes.Entry(
+            ['hangs'], held=fakes.contended_table(), slots_port=port
+        )
+        sending = asyncio.ensure_future(entry.send('/once/x'))
+        await port.has_granted.wait()
+        for _turn in range(turns):
+            await asyncio.sleep(0)
+        sending.cancel()
+        await asyncio.wait([sending])
+        assert len(port.outcomes) == 1
+
+    virtual.run(scenario)
+
+
 # name: step of the target, result
 ENDS = {
     'not reached': ('refused connection', 'UNREACHABLE'),
