--- a/src/carobslip/slotbroker/_scheduler.py
+++ b/src/carobslip/slotbroker/_scheduler.py
@@ -162,6 +162,7 @@
             forecast_ms=round(waiter.wait_ms),
             backlog=backlog,
             slots_per_s=round(1000 * outlook.rate, 1),
+            released_age_ms=outlook.age_ms and round(outlook.age_ms),
             retry_after_ms=round(refused.retry_after_ms),
         )
         return refused
@@ -207,6 +208,8 @@
         now_ms: float,
     ) -> _types.SlotRefused | _types.SlotQueued:
         demand = waiter.demand
+        if self._is_too_soon(waiter, state):
+            return self.refuse(waiter, state, 'returned too soon', now_ms)
         ahead = state.queue.add(waiter)
         self._tickets.queue(demand)
         reason = self._why_not_startable(waiter, state, now_ms)
@@ -216,6 +219,7 @@
                 self._outlook(demand.service, state, now_ms),
                 ahead=ahead,
                 ahead_in_class=state.queue.count(waiter.priority) - 1,
+                floor=state.floor_class(),
             )
             if waiter.wait_ms > demand.wait_left_ms:
                 reason = 'queue too long'
@@ -226,6 +230,20 @@
         self._log.metrics.count('slots.queued')
         return _types.SlotQueued(ticket=demand.ticket, wait_ms=waiter.wait_ms)
 
+    def _is_too_soon(
+        self, waiter: _queue.Waiter, state: _service.ServiceState
+    ) -> bool:
+        """Tells whether a caller came back early while others wait.
+
+        Each try is a new chance to find the queue short for a moment; early
+        ones would be served more often than those that wait as told.
+        """
+        return (
+            waiter.how_returned is _returns.Return.TOO_SOON
+            and not waiter.demand.may_have_run
+            and state.queue.count_as_urgent(waiter.priority) > 0
+        )
+
     def _why_not_startable(
         self,
         waiter: _queue.Waiter,
@@ -296,6 +314,7 @@
         """Refuses requests that are not expected to start in time."""
         refused: list[Decision] = []
         outlook = self._outlook(service, state, now_ms)
+        floor = state.floor_class()
         ahead: dict[int, int] = {}
         for waiter in state.queue.waiters():
             in_class = ahead.get(waiter.priority, 0)
@@ -304,6 +323,7 @@
                 outlook,
                 ahead=sum(ahead.values()),
                 ahead_in_class=in_class,
+                floor=floor,
             )
             if self._is_hopeless(waiter, now_ms):
                 refused.append(
@@ -355,6 +375,7 @@
             is_returning=waiter.is_returning,
             cost=round(waiter.cost),
             load=self._leases.load_of(record.target, now_ms),
+            report_age_ms=self._leases.report_age_ms(record.target, now_ms),
             waiting=len(state.queue),
         )
         return granted
--- a/src/carobslip/slotbroker/_waits.py
+++ b/src/carobslip/slotbroker/_waits.py
@@ -30,7 +30,7 @@
 _FIRST_EVENT_SHARE: Final = 0.4
 #: Part of the rate that is assumed to remain for a request while more urgent
 #: requests arrive faster than slots become free.
-_REMAINING_SHARE_MIN: Final = 0.05
+_REMAINING_SHARE_MIN: Final = 0.2
 
 #: Bounds of retry delays. A delay must end while the refusal is remembered.
 _RETRY_MIN_MS: Final = 400.0
@@ -81,6 +81,12 @@
         median_ms = statistics.median(self._held_ms)
         self._typical_held_ms = held + weight * (median_ms - held)
 
+    def age_ms(self, now_ms: float) -> float | None:
+        """Returns the time since the last release; None before the first."""
+        if not self._held_ms:
+            return None
+        return now_ms - self._released_ms
+
     def note_first_event(self, first_event_ms: float, now_ms: float) -> None:
         """Notes the time from a start to the first event."""
         self._first_events.append((now_ms, first_event_ms))
