--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -135,7 +135,7 @@
         return _slot_source.BrokeredAdmission(
             own=admission,
             port=shared.slots,
-            contended=lambda: self._contended,
+            contended=lambda: self.contended_services,
             candidates=self.candidates,
             loads=loads,
             clock=context.clock,
@@ -159,7 +159,8 @@
         self.admission.close()
 
     @property
-    def _contended(self) -> frozenset[identifiers.ServiceId]:
+    def contended_services(self) -> frozenset[identifiers.ServiceId]:
+        """Services whose slots brokers assign."""
         if self._index is None:
             return frozenset()
         return self._index.contended_services
--- a/src/carobslip/processes/_load_reception.py
+++ b/src/carobslip/processes/_load_reception.py
@@ -55,14 +55,20 @@
         if addresses is None:
             return control.Noted(is_missing_data=True)
         by_address = {
-            record.address: record.target for record in self._registry.records
+            record.address: record for record in self._registry.records
         }
-        totals = [
-            (by_address[address], requests)
-            for address, requests in zip(addresses, load.requests, strict=True)
-            if address in by_address
-        ]
+        contended = self._forwarder.contended_services
+        totals: list[tuple[identifiers.TargetId, int]] = []
+        brokered: list[tuple[identifiers.TargetId, int]] = []
+        for address, requests in zip(addresses, load.requests, strict=True):
+            record = by_address.get(address)
+            if record is None:
+                continue
+            totals.append((record.target, requests))
+            if record.service in contended:
+                brokered.append((record.target, requests))
         self._store(load, totals)
+        self._inform_broker(load, brokered)
         self._update_stall(load, [target for target, _total in totals])
         self._forwarder.admission.recheck_queues()
         return control.Noted()
@@ -79,10 +85,17 @@
             )
             if not load.is_open:
                 self._loads.avoid(target, load.avoid_ms)
+
+    def _inform_broker(
+        self,
+        load: control.GroupLoad,
+        totals: list[tuple[identifiers.TargetId, int]],
+    ) -> None:
+        members = [target for target, _total in totals]
         if not load.is_open:
-            self._server.avoid(
-                [target for target, _total in totals], load.avoid_ms
-            )
+            self._server.avoid(members, load.avoid_ms)
+        elif self._groups.get(load.group) is False:
+            self._server.clear_avoidance(members)
         self._server.note_loads(totals, valid_ms=load.valid_ms)
 
     def _update_stall(
@@ -100,7 +113,6 @@
             # Targets that failed because the group stalled work again.
             for target in members:
                 self._loads.clear_failures(target)
-            self._server.clear_avoidance(members)
         self._log.write(
             observability.Event.GROUP_CHANGED,
             group=load.group,
--- a/src/carobslip/processes/_slot_exchange.py
+++ b/src/carobslip/processes/_slot_exchange.py
@@ -195,25 +195,32 @@
         asked_ms = self._clock.now_ms()
         demand = waiter.demand_at(asked_ms)
         self._metrics.count('brokered.asked')
-        if broker.instance == self.instance:
-            self._accept(waiter, broker, self._server.ask(demand), asked_ms)
-            return True
         try:
-            answer = await self._node.ask(
-                broker.control_address,
-                control.AskSlot(demand=demand),
-                answer=control.SlotAnswer,
-                timeout_ms=_ANSWER_TIMEOUT_MS,
-            )
-        except control.PeerUnreachable as fault:
+            answer = await self._answer_of(broker, demand)
+        except Exception as fault:
+            # A fault of the broker must not fail the request, which has not run.
             if not waiter.decided.done():
-                self._choice.note_silent(
-                    demand.service, broker, str(fault) or 'no answer'
-                )
+                self._choice.note_silent(demand.service, broker, repr(fault))
             return False
-        self._accept(waiter, broker, answer.granted or answer.refused, asked_ms)
+        self._accept(waiter, broker, answer, asked_ms)
         return True
 
+    async def _answer_of(
+        self,
+        broker: directory.InstanceRecord,
+        demand: slotbroker.SlotDemand,
+    ) -> _slot_server.Answer | None:
+        """Returns the answer of a broker, which may be this entry."""
+        if broker.instance == self.instance:
+            return self._server.ask(demand)
+        answer = await self._node.ask(
+            broker.control_address,
+            control.AskSlot(demand=demand),
+            answer=control.SlotAnswer,
+            timeout_ms=_ANSWER_TIMEOUT_MS,
+        )
+        return answer.granted or answer.refused
+
     def _accept(
         self,
         waiter: _Waiter,
--- a/tests/test_slot_exchange.py
+++ b/tests/test_slot_exchange.py
@@ -20,7 +20,7 @@
     slotbroker,
     verdicts,
 )
-from carobslip.processes import _entry_slots
+from carobslip.processes import _entry_slots, _load_reception
 from tests.fakes import forwarding as fakes
 from tests.fakes import host, slot_entries, virtual
 
@@ -81,8 +81,12 @@
     broker.server._is_current = lambda: False
 
 
+def _break(fleet, broker):
+    broker.broker.ask = broker.broker.queue.pop
+
+
 @pytest.mark.parametrize(
-    'fail', [_refuse_as_older_version, _cut_off, _wake_from_pause]
+    'fail', [_refuse_as_older_version, _cut_off, _wake_from_pause, _break]
 )
 def test_entry_decides_itself_while_the_broker_is_silent(fail):
     async def scenario():
@@ -101,6 +105,16 @@
     host.run_virtual(scenario())
 
 
+@host.virtual
+async def test_entry_whose_own_broker_fails_decides_itself():
+    fleet = slot_entries.SlotFleet()
+    broker, _one, _two = await fleet.start()
+    _break(fleet, broker)
+    place = await wait_for(broker.ask(), 0.01)
+    assert not isinstance(place, forwarding.Refusal)
+    assert broker.events(Event.BROKER_SILENT)
+
+
 @host.virtual
 async def test_suspicion_alone_does_not_split_the_queue():
     fleet = slot_entries.SlotFleet(count=3)
@@ -491,3 +505,57 @@
 
     def update(self, record, state):
         self.table.merge(self._update(record, state))
+
+
+class RecordingServer:
+    """Records what a broker learns from reports."""
+
+    def __init__(self):
+        self.calls = []
+
+    def __getattr__(self, name):
+        return lambda targets, *_times, **_named: self.calls.append(
+            (name, targets)
+        )
+
+
+@host.virtual
+async def test_broker_learns_the_loads_of_contended_services_only():
+    entry = fakes.Entry(held=fakes.contended_table(), count=1)
+    own = slot_entries.SlotFleet(entries=1).entries[0]
+    server = RecordingServer()
+    _load_reception.GroupLoadReceiver(
+        node=own.node,
+        registry=entry.book,
+        loads=entry.loads,
+        forwarder=entry.forwarder,
+        server=server,
+        entries=lambda: 1,
+        log=own.log,
+    )
+    members = tuple(one.address for one in entry.book.records)
+
+    async def report(*, is_open):
+        load = control.GroupLoad(
+            group='g',
+            is_open=is_open,
+            members_digest=1,
+            valid_ms=500,
+            avoid_ms=500,
+            requests=(3, 3),
+            members=members,
+        )
+        await own.node._handlers[control.GroupLoad](load, own.node.origin)
+
+    for is_open in (True, False, True):
+        await report(is_open=is_open)
+    loads = ('note_loads', [('drafts-0', 3)])
+    names = ['drafts-0']
+    assert server.calls == [
+        loads,
+        ('avoid', names),
+        loads,
+        ('clear_avoidance', names),
+        loads,
+    ]
+    assert entry.loads.load_of('desk-0') == 3
