--- a/src/carobslip/forwarding/_cold_turns.py
+++ b/src/carobslip/forwarding/_cold_turns.py
@@ -1,10 +1,9 @@
 """Turns in which entries send to targets that may be cold."""
 
 import random
-import zlib
 from collections.abc import Callable
 
-from carobslip import clocks, identifiers
+from carobslip import clocks, hashing, identifiers
 
 
 class ColdTurns:
@@ -49,7 +48,7 @@
             entries: How many entries share the targets.
         """
         # The shift spreads the turns of one entry at different targets.
-        shift = zlib.crc32(target.encode())
+        shift = hashing.digest_names(target)
         turn = int(self._clock.wall_ms() / turn_ms) + shift
         return (turn - self._index()) % entries == 0
 
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -187,21 +187,6 @@
         'prompt-cleared',
         'Parts of a prompt are no longer held responsible for crashes.',
     )
-    TARGET_WATCHED = (
-        450,
-        'target-watched',
-        'A target has started or recovered; its requests grow from few.',
-    )
-    TARGET_LIMIT_REDUCED = (
-        451,
-        'target-limit-reduced',
-        'A watched target failed or was slow and gets fewer requests at once.',
-    )
-    TARGET_WATCH_ENDED = (
-        452,
-        'target-watch-ended',
-        'A watched target may use all of its slots.',
-    )
     SLOT_GRANTED = (
         430,
         'slot-granted',
@@ -229,6 +214,44 @@
         'Other classes than before are ordered behind late requests of more '
         'urgent ones, because they were served better.',
     )
+    BROKER_SILENT = (
+        440,
+        'broker-silent',
+        'The entry that assigns the slots of a service did not answer; this '
+        'entry decides alone for a while.',
+    )
+    BROKER_CHANGED = (
+        441,
+        'broker-changed',
+        'Another entry assigns the slots of a service from now on.',
+    )
+    GRANT_NOT_USED = (
+        442,
+        'grant-not-used',
+        'A slot was granted too late, or at a target that cannot be used; it '
+        'was returned.',
+    )
+    SLOTS_NOT_RETURNED = (
+        443,
+        'slots-not-returned',
+        'An entry could not be told that slots are free; they are free there '
+        'when their time limits end.',
+    )
+    TARGET_WATCHED = (
+        450,
+        'target-watched',
+        'A target has started or recovered; its requests grow from few.',
+    )
+    TARGET_LIMIT_REDUCED = (
+        451,
+        'target-limit-reduced',
+        'A watched target failed or was slow and gets fewer requests at once.',
+    )
+    TARGET_WATCH_ENDED = (
+        452,
+        'target-watch-ended',
+        'A watched target may use all of its slots.',
+    )
     TARGET_OUT = (501, 'target-out', 'The target gets no new work.')
     TARGET_IN = (
         502,
