--- a/src/carobslip/slotbroker/_broker.py
+++ b/src/carobslip/slotbroker/_broker.py
@@ -146,7 +146,9 @@
         state = self._services.get(waiter.demand.service)
         if state is not None:
             state.note_outcome(lease, outcome, now_ms)
-        avoid_ms = self._health.note_outcome(outcome, now_ms)
+        avoid_ms = self._health.note_outcome(
+            outcome, started_ms=lease.started_ms, now_ms=now_ms
+        )
         if avoid_ms:
             self._log.write(
                 observability.Event.SLOT_TARGET_AVOIDED,
--- a/src/carobslip/slotbroker/_health.py
+++ b/src/carobslip/slotbroker/_health.py
@@ -35,6 +35,7 @@
 class _TargetHealth:
     def __init__(self) -> None:
         self.failures = 0
+        self.failed_ms = float('-inf')
         self.avoid_until_ms = 0.0
         # Set by others, and not ended by late answers of a stalled group.
         self.stalled_until_ms = 0.0
@@ -72,14 +73,31 @@
             known.avoid_until_ms = 0.0
             known.stalled_until_ms = 0.0
 
-    def note_outcome(self, outcome: _types.SlotOutcome, now_ms: float) -> float:
-        """Counts an outcome; returns how long the target is avoided for it."""
+    def note_outcome(
+        self,
+        outcome: _types.SlotOutcome,
+        *,
+        started_ms: float,
+        now_ms: float,
+    ) -> float:
+        """Counts an outcome; returns how long the target is avoided for it.
+
+        Args:
+            outcome: The outcome of a request.
+            started_ms: When the request got its slot.
+            now_ms: The present time.
+        """
         if outcome.result is _types.SlotResult.SERVED:
             self._note_served(outcome, now_ms)
             return 0.0
         if outcome.result not in _FAILED_RESULTS:
             return 0.0
         known = self._get(outcome.target)
+        # Requests that ran at the time of a failure often fail with it, and say
+        # nothing about the target's state afterwards.
+        if started_ms < known.failed_ms:
+            return 0.0
+        known.failed_ms = now_ms
         known.failures += 1
         is_unreachable = outcome.result is _types.SlotResult.UNREACHABLE
         if not is_unreachable and known.failures < _FAILURES_MAX:
--- a/tests/test_slot_broker.py
+++ b/tests/test_slot_broker.py
@@ -447,6 +447,17 @@
     assert is_granted(scene.ask())
 
 
+# The five requests of a target that fail together would count as five failures in
+# a row, and the target would be avoided for 4 s after it works again.
+def test_requests_that_fail_together_count_as_one_failure():
+    scene = Scene(slots=5)
+    running = scene.fill(5)
+    scene.now += 1000
+    for granted in running:
+        scene.end(granted, 'failed', events=0)
+    assert is_granted(scene.ask())
+
+
 # A stalled group would take requests that the others could answer in time.
 def test_a_stalled_target_gets_nothing_until_it_is_cleared():
     scene = Scene(count=2, slots=5)
