--- a/src/carobslip/adapters/caller_headers.py
+++ b/src/carobslip/adapters/caller_headers.py
@@ -1,16 +1,20 @@
 """Reads and validates the body and headers of callers' requests."""
 
-import asyncio
 from typing import Final
 
 from aiohttp import web
 
-from carobslip import configuration, identifiers, verdicts
+from carobslip import callerlimits, configuration, identifiers, verdicts
+from carobslip.adapters import caller_bodies
 
 TEAM_HEADER: Final = 'Carobslip-Team'
 KEY_HEADER: Final = 'Idempotency-Key'
 TIMEOUT_HEADER: Final = 'Carobslip-Timeout-Ms'
 
+#: Limits that hold before the policy of a request is known.
+LIMITS: Final = configuration.CallerLimits(
+    body_bytes=67_108_864, header_timeout_ms=15_000
+)
 #: Longest name of a team, and longest media type that is forwarded.
 NAME_MAX_CHARS: Final = 128
 _KEY_MAX_CHARS: Final = 255
@@ -26,14 +30,14 @@
         self.outcome = outcome
 
 
-async def read_body(request: web.Request) -> bytes:
-    """Returns the whole body; raises Refused if too long or incomplete."""
-    try:
-        return await request.read()
-    except web.HTTPRequestEntityTooLarge as fault:
-        raise refused(_Reason.BODY_TOO_LARGE, fault.text or '') from None
-    except asyncio.IncompleteReadError as fault:
-        raise refused(_Reason.BAD_REQUEST, str(fault)) from None
+async def read_body(
+    request: web.Request, holding: callerlimits.Holding
+) -> bytes:
+    """Returns the whole body; raises Refused if it exceeds a limit."""
+    body = await caller_bodies.read_body(request, holding, LIMITS)
+    if isinstance(body, verdicts.Outcome):
+        raise Refused(outcome=body)
+    return body
 
 
 def read_team(request: web.Request) -> identifiers.TeamId:
--- a/src/carobslip/adapters/caller_server.py
+++ b/src/carobslip/adapters/caller_server.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from carobslip import (
+    callerlimits,
     clocks,
     configuration,
     decoding,
@@ -16,19 +17,26 @@
     observability,
     verdicts,
 )
-from carobslip.adapters import caller_headers, problems
+from carobslip.adapters import (
+    caller_bodies,
+    caller_headers,
+    client_limits,
+    problems,
+)
 
 REQUEST_ID_HEADER: Final = 'Carobslip-Request-Id'
 VERDICT_HEADER: Final = 'Carobslip-Verdict'
 ENTRIES_HEADER: Final = 'Carobslip-Entries'
 
-_BODY_MAX_BYTES: Final = 67_108_864
 _PROBLEM_TYPE: Final = 'application/problem+json'
 #: Other entries take requests that a stopping one refuses.
 _DRAINING_RETRY_MS: Final = 100
 _EVENT_STREAM: Final = 'text/event-stream'
 
 _Reason = verdicts.Reason
+_Build = Callable[
+    [web.Request, bytes, identifiers.RequestId], entry.CallerRequest
+]
 
 
 class _DraftFields(msgspec.Struct, frozen=True, kw_only=True):
@@ -85,6 +93,7 @@
         clock: Monotonic and wall time.
         log: Receives events.
         on_ended: Called with each request, its duration and its outcome.
+        limits: What callers may use; None for that of a usual instance.
     """
 
     def __init__(
@@ -100,7 +109,11 @@
             [entry.CallerRequest, float, verdicts.Outcome],
             None,
         ],
+        limits: client_limits.ClientLimits | None = None,
     ) -> None:
+        self._budget = (
+            client_limits.new_budget() if limits is None else limits.budget
+        )
         self._own = own
         self._runner = runner
         self._holder = holder
@@ -117,7 +130,7 @@
 
     def application(self) -> web.Application:
         """Returns the HTTP application."""
-        application = web.Application(client_max_size=_BODY_MAX_BYTES)
+        application = web.Application()
         router = application.router
         router.add_get('/v1/entries', self._entries)
         router.add_get('/v1/models', self._models)
@@ -158,15 +171,24 @@
     async def _run(
         self,
         request: web.Request,
-        build: Callable[
-            [web.Request, bytes, identifiers.RequestId],
-            entry.CallerRequest,
-        ],
+        build: _Build,
+    ) -> web.StreamResponse:
+        holding = caller_bodies.open_holding(request, self._budget)
+        try:
+            return await self._run_held(request, build, holding)
+        finally:
+            holding.clear()
+
+    async def _run_held(
+        self,
+        request: web.Request,
+        build: _Build,
+        holding: callerlimits.Holding,
     ) -> web.StreamResponse:
         request_id = identifiers.new_request_id(self._clock.wall_ms())
         self.in_progress += 1
         try:
-            body = await caller_headers.read_body(request)
+            body = await caller_headers.read_body(request, holding)
             checked = build(request, body, request_id)
         except caller_headers.Refused as refused:
             return self._problem(request_id, refused.outcome)
@@ -179,6 +201,8 @@
                     _Reason.DRAINING, retry_after_ms=_DRAINING_RETRY_MS
                 ),
             )
+        # From here on the request may run, so that its bytes stay.
+        holding.use = callerlimits.Use.REQUEST
         return await self._run_checked(request, checked)
 
     async def _run_checked(
--- /dev/null
+++ b/src/carobslip/callerlimits/_budget.py
@@ -0,0 +1,177 @@
+"""Bytes that callers make a process hold."""
+
+import enum
+from collections.abc import Callable
+from typing import Final
+
+#: Holders of more than this may use only a part of the budget, so that large
+#: bodies and answers cannot use it up for ordinary requests.
+_SMALL_BYTES: Final = 65_536
+_LARGE_SHARE: Final = 0.75
+#: A holder without progress for this long may lose its bytes to others.
+_STALLED_S: Final = 1.0
+
+
+class Use(enum.IntEnum):
+    """What bytes are held for; smaller ones are released first.
+
+    Attributes:
+        HEAD: A head that is not complete.
+        BODY: A body that is not complete; its request has not run.
+        ANSWER: An answer that its caller does not read.
+        REQUEST: A request in progress; never released before its outcome.
+    """
+
+    HEAD = 0
+    BODY = 1
+    ANSWER = 2
+    REQUEST = 3
+
+
+class Holding:
+    """The bytes of one connection or request.
+
+    Args:
+        budget: Counts them.
+        use: What they are held for.
+        release: Frees the bytes; called when others need them.
+    """
+
+    __slots__ = ('_budget', '_release', 'progress_s', 'size_bytes', 'use')
+
+    def __init__(
+        self,
+        *,
+        budget: 'ByteBudget',
+        use: Use,
+        release: Callable[[], None] | None,
+    ) -> None:
+        self._budget = budget
+        self._release = release
+        self.use = use
+        self.size_bytes = 0
+        self.progress_s = 0.0
+
+    def resize(self, size_bytes: int) -> bool:
+        """Holds this many bytes; returns False, unchanged, if they are short."""
+        return self._budget.resize(self, size_bytes)
+
+    def force(self, size_bytes: int) -> None:
+        """Holds this many bytes, also above the budget, until it is trimmed."""
+        if not self.resize(size_bytes):
+            self._budget.add(self, size_bytes)
+
+    def clear(self) -> None:
+        """Holds nothing any more."""
+        if self.size_bytes:
+            self._budget.clear(self)
+
+    def evict(self) -> None:
+        """Gives the bytes to others."""
+        self.clear()
+        if self._release is not None:
+            self._release()
+
+    @property
+    def is_evictable(self) -> bool:
+        """Whether the bytes may be given to others."""
+        return self.use is not Use.REQUEST and self._release is not None
+
+
+class ByteBudget:
+    """Bounds the bytes that all callers together make a process hold.
+
+    Args:
+        bytes_max: The bound.
+        now_s: Returns the time of the event loop.
+        on_short: Called with the use that lost bytes or was refused some.
+    """
+
+    def __init__(
+        self,
+        *,
+        bytes_max: int,
+        now_s: Callable[[], float],
+        on_short: Callable[[str], None],
+    ) -> None:
+        self.bytes_max = bytes_max
+        self.used_bytes = 0
+        self._now_s = now_s
+        self._on_short = on_short
+        self._holdings: set[Holding] = set()
+
+    def open(
+        self, use: Use, release: Callable[[], None] | None = None
+    ) -> Holding:
+        """Returns a holding without bytes."""
+        return Holding(budget=self, use=use, release=release)
+
+    def resize(self, holding: Holding, size_bytes: int) -> bool:
+        """Changes a holding; others without progress may lose theirs for it."""
+        more_bytes = size_bytes - holding.size_bytes
+        if more_bytes > 0:
+            holding.progress_s = self._now_s()
+            if not self._has_room(holding, size_bytes, more_bytes):
+                self._on_short(f'refused.{holding.use.name.lower()}')
+                return False
+        self.add(holding, size_bytes)
+        return True
+
+    def add(self, holding: Holding, size_bytes: int) -> None:
+        """Changes a holding, also above the budget."""
+        self.used_bytes += size_bytes - holding.size_bytes
+        holding.size_bytes = size_bytes
+        if size_bytes:
+            self._holdings.add(holding)
+        else:
+            self._holdings.discard(holding)
+
+    def trim(self) -> None:
+        """Takes bytes from holders without progress while there are too many."""
+        while self.used_bytes > self.bytes_max:
+            victim = self._least_legitimate(None, is_small=False)
+            if victim is None:
+                return
+            self._on_short(f'evicted.{victim.use.name.lower()}')
+            victim.evict()
+
+    def clear(self, holding: Holding) -> None:
+        """Removes a holding's bytes."""
+        self.used_bytes -= holding.size_bytes
+        holding.size_bytes = 0
+        self._holdings.discard(holding)
+
+    def _has_room(
+        self, holding: Holding, size_bytes: int, more_bytes: int
+    ) -> bool:
+        is_small = size_bytes <= _SMALL_BYTES
+        limit = self.bytes_max if is_small else self.bytes_max * _LARGE_SHARE
+        while self.used_bytes + more_bytes > limit:
+            victim = self._least_legitimate(holding, is_small=is_small)
+            if victim is None:
+                return False
+            self._on_short(f'evicted.{victim.use.name.lower()}')
+            victim.evict()
+        return True
+
+    def _least_legitimate(
+        self, needing: Holding | None, *, is_small: bool
+    ) -> Holding | None:
+        """Returns the holder without progress that has the least claim.
+
+        For a small need it may also be a large holder with progress.
+        """
+        stalled_s = self._now_s() - _STALLED_S
+        candidates = [
+            one
+            for one in self._holdings
+            if one is not needing
+            and one.is_evictable
+            and (
+                one.progress_s <= stalled_s
+                or (is_small and one.size_bytes > _SMALL_BYTES)
+            )
+        ]
+        if not candidates:
+            return None
+        return min(candidates, key=lambda one: (one.use, one.progress_s))
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -187,6 +187,36 @@
         'prompt-cleared',
         'Parts of a prompt are no longer held responsible for crashes.',
     )
+    CALLER_CONNECTIONS_FULL = (
+        420,
+        'caller-connections-full',
+        'Too many connections of callers were open; waiting ones were closed '
+        'or new ones refused, counted since the last line.',
+    )
+    CALLER_MEMORY_SHORT = (
+        421,
+        'caller-memory-short',
+        'Bytes held for callers reached their bound; uses without progress '
+        'lost theirs or new ones were refused, counted since the last line.',
+    )
+    CALLER_READS_SLOWLY = (
+        422,
+        'caller-reads-slowly',
+        'Callers read their answers below the least rate; their connections '
+        'were closed, counted since the last line.',
+    )
+    CALLER_CHUNKS_DELAYED = (
+        423,
+        'caller-chunks-delayed',
+        'Bodies in very small chunks are read at a limited rate, counted since '
+        'the last line.',
+    )
+    CALLER_INPUT_REFUSED = (
+        424,
+        'caller-input-refused',
+        'Heads or bodies were too long or malformed and reached no target, '
+        'counted since the last line.',
+    )
     TARGET_OUT = (501, 'target-out', 'The target gets no new work.')
     TARGET_IN = (
         502,
--- a/src/carobslip/processes/_assembly.py
+++ b/src/carobslip/processes/_assembly.py
@@ -1,6 +1,7 @@
 """Constructors that the entry and guard processes share."""
 
 import random
+from typing import Final
 
 import aiohttp
 from aiohttp import web
@@ -14,6 +15,10 @@
 )
 from carobslip.adapters import control_nng, guard_client, platform_client
 
+#: Open connections are closed this long after a server is stopped.
+SHUTDOWN_S: Final = 1.0
+_BACKLOG: Final = 1024
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Splits a validated ``IP:PORT``."""
@@ -71,12 +76,19 @@
         application,
         handler_cancellation=True,
         access_log=None,
-        shutdown_timeout=1,
+        shutdown_timeout=SHUTDOWN_S,
     )
+    await start_runner(runner, address)
+    return runner
+
+
+async def start_runner(
+    runner: web.AppRunner, address: str, *, backlog: int = _BACKLOG
+) -> None:
+    """Starts to listen."""
     await runner.setup()
     host, port = split_address(address)
-    await web.TCPSite(runner, host, port, backlog=1024).start()
-    return runner
+    await web.TCPSite(runner, host, port, backlog=backlog).start()
 
 
 def new_client_session() -> aiohttp.ClientSession:
--- a/src/carobslip/processes/_entry.py
+++ b/src/carobslip/processes/_entry.py
@@ -21,7 +21,12 @@
     tasks,
     verdicts,
 )
-from carobslip.adapters import caller_server, guard_client, operator_server
+from carobslip.adapters import (
+    bounded_runner,
+    caller_server,
+    guard_client,
+    operator_server,
+)
 from carobslip.processes import _assembly, _drain, _hint_refresher, _status
 
 #: Callers with cached addresses still connect for a while after a stop began.
@@ -74,6 +79,7 @@
         )
         self._supervisor = tasks.Supervisor(log=self._log)
         self._supervisor.keep_running(refresher.run)
+        self._limits = bounded_runner.new_limits(self._log, self._metrics)
         self._server = self._new_caller_server()
         await self._serve()
         self._log.write(
@@ -110,11 +116,20 @@
                 '/burn': self._burn,
             },
         )
+        front = bounded_runner.BoundedRunner(
+            self._server.application(),
+            limits=self._limits,
+            metrics=self._metrics,
+            keep_running=self._supervisor.keep_running,
+            shutdown_s=_assembly.SHUTDOWN_S,
+        )
+        await _assembly.start_runner(
+            front,
+            self._own.http_address,
+            backlog=self._limits.capacity.backlog,
+        )
         self._runners = [
-            await _assembly.serve_http(
-                self._server.application(),
-                self._own.http_address,
-            ),
+            front,
             await _assembly.serve_http(
                 operator.application(),
                 self._own.operator_address,
@@ -139,6 +154,7 @@
             clock=self._clock,
             log=self._log,
             on_ended=self._record_request_end,
+            limits=self._limits,
         )
 
     def _record_request_end(
