--- a/src/carobslip/adapters/caller_connections.py
+++ b/src/carobslip/adapters/caller_connections.py
@@ -56,6 +56,8 @@
     ) -> None:
         super().__init__(server, limits, head_bytes_max, **named)
         self._is_admitted = False
+        self._link: asyncio.BaseTransport | None = None
+        self._closing_since_s: float | None = None
         self._unsent = limits.budget.open(
             callerlimits.Use.ANSWER, self.close_unused
         )
@@ -71,6 +73,7 @@
         self.source = str(peer[0]) if peer else ''
         self._is_admitted = self._limits.gate.admit(self)
         if self._is_admitted:
+            self._link = transport
             super().connection_made(transport)
         elif isinstance(transport, asyncio.WriteTransport):
             transport.abort()
@@ -80,10 +83,17 @@
         if self._is_admitted:
             self._is_admitted = False
             self._limits.gate.note_closed(self)
+        self._link = None
         self.clear_input()
         self._unsent.clear()
         super().connection_lost(exc)
 
+    def close_unused(self) -> None:
+        """Closes the connection at once, with what waits for its caller."""
+        super().close_unused()
+        if isinstance(self._link, asyncio.WriteTransport):
+            self._link.abort()
+
     def pause_writing(self) -> None:
         """The caller does not read; counts what waits for it."""
         super().pause_writing()
@@ -130,7 +140,7 @@
 
     def expired_timeout(self, bounds: ConnectionBounds) -> str | None:
         """Returns the timeout that has expired, or None."""
-        if self._is_slow_reader(bounds):
+        if self._is_slow_reader(bounds) or self._is_slow_to_close(bounds):
             return 'slow reader'
         if self._is_busy or self._is_blocked or self.is_inside_body:
             return None
@@ -162,6 +172,15 @@
         )
         return left_s <= 0
 
+    def _is_slow_to_close(self, bounds: ConnectionBounds) -> bool:
+        """Whether a closed connection still waits for its caller to read."""
+        if self._link is None or not self._link.is_closing():
+            return False
+        if self._closing_since_s is None:
+            self._closing_since_s = self._clock()
+        closing_ms = (self._clock() - self._closing_since_s) * 1000
+        return closing_ms > bounds.idle_timeout_ms
+
     def _unsent_bytes(self) -> int:
         """Returns what the caller has not acknowledged, the kernel's included.
 
@@ -249,15 +268,16 @@
         bounds: ConnectionBounds,
     ) -> None:
         why = connection.expired_timeout(bounds)
-        if why is None or connection.transport is None:
-            return
-        if connection.transport.is_closing():
+        if why is None:
             return
-        self._metrics.count(f'connection_closed.{why.replace(" ", "_")}')
         if why == 'slow reader':
+            self._metrics.count('connection_closed.slow_reader')
             self._limits.count(_Event.CALLER_READS_SLOWLY, 'closed')
             connection.close_unused()
             return
+        if connection.transport is None or connection.transport.is_closing():
+            return
+        self._metrics.count(f'connection_closed.{why.replace(" ", "_")}')
         if why != 'idle':
             self._limits.count(_Event.CALLER_SLOW, why.replace(' ', '_'))
         connection.transport.close()
--- a/src/carobslip/adapters/caller_input.py
+++ b/src/carobslip/adapters/caller_input.py
@@ -20,6 +20,10 @@
 _CHUNKS_PER_TURN: Final = 1000
 #: Interval at which the end of a refused body is awaited.
 _ADVANCE_INTERVAL_S: Final = 0.05
+#: Heads of up to this size are not counted once they are parsed.
+_SMALL_HEAD_BYTES: Final = 2048
+#: A parsed head as bytes, as text and as objects takes this many times its size.
+_PARSED_FACTOR: Final = 4
 _HEAD_END: Final = b'\r\n\r\n'
 _HEAD_REFUSED: Final = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
@@ -90,6 +94,9 @@
         self._received = limits.budget.open(
             callerlimits.Use.HEAD, self._drop_received
         )
+        self._parsed = limits.budget.open(
+            callerlimits.Use.BODY, self._drop_received
+        )
 
     def data_received(self, data: bytes) -> None:
         """Passes on what belongs to the present request."""
@@ -117,8 +124,9 @@
             self.transport.abort()
 
     def close_waiting(self) -> bool:
-        """Closes the connection unless a request uses it."""
-        if self._is_busy or self._request_in_progress:
+        """Closes the connection unless a complete request uses it."""
+        is_used = self._is_busy or self._request_in_progress
+        if is_used and not self.is_inside_body:
             return False
         self.close_unused()
         return True
@@ -127,6 +135,7 @@
         """Frees what was received and not passed on."""
         self._input = Input.NOTHING
         self._received.clear()
+        self._parsed.clear()
         self._head = bytearray()
         self._unread = b''
 
@@ -222,13 +231,18 @@
 
     def _begin(self, head: bytes) -> None:
         """Passes on a whole head."""
+        if not self._count_parsed(len(head)):
+            return
         self._blank_bytes = 0
         self._is_reading_headers = False
         self._is_busy = True
         self.body_fault = None
         self.held_back_s = 0.0
-        self._limits.gate.note_request(self)
         self._parse(head)
+        if self._close or self._force_close:
+            # The library has stopped reading; the head was not passed on.
+            self._input = Input.NOTHING
+            return
         if not self._messages:
             self._refuse_head()
             return
@@ -248,6 +262,24 @@
         else:
             self._input = Input.BODY
             self._body_left = int(message.headers.get('Content-Length', 0))
+        if self.is_inside_body:
+            self._limits.gate.note_receiving(self)
+        else:
+            self._note_complete()
+
+    def _count_parsed(self, size_bytes: int) -> bool:
+        """Counts a long head; closes the connection if memory is short."""
+        if size_bytes <= _SMALL_HEAD_BYTES:
+            return True
+        self._parsed.use = callerlimits.Use.BODY
+        if self._parsed.resize(size_bytes * _PARSED_FACTOR):
+            return True
+        self._input = Input.NOTHING
+        if self._request_in_progress:
+            self.close()
+        else:
+            self.close_unused()
+        return False
 
     def _take_body(self, data: bytes) -> bytes:
         """Passes on a body of known length; returns what follows it."""
@@ -315,9 +347,16 @@
 
     def _end_input(self) -> None:
         self._input = Input.ANSWER
-        if not self._is_busy:
+        if self._is_busy:
+            self._note_complete()
+        else:
             self._advance()
 
+    def _note_complete(self) -> None:
+        """The request may run from here on; nothing of it is taken away."""
+        self._parsed.use = callerlimits.Use.REQUEST
+        self._limits.gate.note_request(self)
+
     def _advance(self) -> None:
         """Expects the next request, once the present body has been read."""
         if self._input is not Input.ANSWER or self._is_busy:
@@ -328,6 +367,7 @@
             )
             return
         self._input = Input.HEAD
+        self._parsed.clear()
         if self._unread:
             self._release()
             self._take(self._take_unread())
--- a/src/carobslip/callerlimits/_budget.py
+++ b/src/carobslip/callerlimits/_budget.py
@@ -58,8 +58,7 @@
 
     def force(self, size_bytes: int) -> None:
         """Holds this many bytes, also above the budget, until it is trimmed."""
-        if not self.resize(size_bytes):
-            self._budget.add(self, size_bytes)
+        self._budget.resize(self, size_bytes, is_forced=True)
 
     def clear(self) -> None:
         """Holds nothing any more."""
@@ -106,25 +105,24 @@
         """Returns a holding without bytes."""
         return Holding(budget=self, use=use, release=release)
 
-    def resize(self, holding: Holding, size_bytes: int) -> bool:
+    def resize(
+        self, holding: Holding, size_bytes: int, *, is_forced: bool = False
+    ) -> bool:
         """Changes a holding; others without progress may lose theirs for it."""
         more_bytes = size_bytes - holding.size_bytes
         if more_bytes > 0:
             holding.progress_s = self._now_s()
-            if not self._has_room(holding, size_bytes, more_bytes):
-                self._on_short(f'refused.{holding.use.name.lower()}')
+            has_room = self._has_room(holding, size_bytes, more_bytes)
+            if not has_room and not is_forced:
+                self._note_refused(holding)
                 return False
-        self.add(holding, size_bytes)
-        return True
-
-    def add(self, holding: Holding, size_bytes: int) -> None:
-        """Changes a holding, also above the budget."""
         self.used_bytes += size_bytes - holding.size_bytes
         holding.size_bytes = size_bytes
         if size_bytes:
             self._holdings.add(holding)
         else:
             self._holdings.discard(holding)
+        return True
 
     def trim(self) -> None:
         """Takes bytes from holders without progress while there are too many."""
@@ -141,6 +139,11 @@
         holding.size_bytes = 0
         self._holdings.discard(holding)
 
+    def _note_refused(self, holding: Holding) -> None:
+        # Requests in progress wait and ask again.
+        if holding.use is not Use.REQUEST:
+            self._on_short(f'refused.{holding.use.name.lower()}')
+
     def _has_room(
         self, holding: Holding, size_bytes: int, more_bytes: int
     ) -> bool:
--- a/src/carobslip/callerlimits/_gate.py
+++ b/src/carobslip/callerlimits/_gate.py
@@ -18,33 +18,41 @@
 class _Source:
     """The connections of one source address.
 
-    The ones without a request in progress are in the order in which they began
-    to wait: those that never sent one, and those kept after an answer.
+    The ones without a complete request are in the order in which they began to
+    wait: those that never sent one, those kept after an answer, and those whose
+    body is not complete.
     """
 
     def __init__(self) -> None:
         self.count = 0
         self.silent: dict[Waiting, None] = {}
         self.kept: dict[Waiting, None] = {}
+        self.receiving: dict[Waiting, None] = {}
 
     @property
     def waiting(self) -> int:
-        return len(self.silent) + len(self.kept)
+        return len(self.silent) + len(self.kept) + len(self.receiving)
 
     def oldest(self) -> Waiting | None:
-        for waiting in (self.silent, self.kept):
+        for waiting in (self.silent, self.kept, self.receiving):
             if waiting:
                 return next(iter(waiting))
         return None
 
+    def forget(self, connection: Waiting) -> None:
+        self.silent.pop(connection, None)
+        self.kept.pop(connection, None)
+        self.receiving.pop(connection, None)
+
 
 class ConnectionGate:
     """Decides which connections stay open.
 
     When there are too many, the one that has waited longest without ever sending
     a request is closed, of the address with the most waiting connections, then
-    the one that has waited longest for its next request. A new connection is
-    refused only if all others have a request in progress.
+    the one that has waited longest for its next request, then the one whose body
+    has been incomplete for longest. A new connection is refused only if all
+    others have a request in progress.
 
     Args:
         capacity: The limits.
@@ -79,16 +87,23 @@
         return True
 
     def note_request(self, connection: Waiting) -> None:
-        """A request of the connection is in progress."""
+        """A complete request of the connection is in progress."""
+        own = self._sources.get(connection.source)
+        if own is not None:
+            own.forget(connection)
+
+    def note_receiving(self, connection: Waiting) -> None:
+        """The body of a request arrives on the connection."""
         own = self._sources.get(connection.source)
         if own is not None:
-            own.silent.pop(connection, None)
-            own.kept.pop(connection, None)
+            own.forget(connection)
+            own.receiving[connection] = None
 
     def note_waiting(self, connection: Waiting) -> None:
         """The connection waits for its next request."""
         own = self._sources.get(connection.source)
         if own is not None:
+            own.receiving.pop(connection, None)
             own.kept[connection] = None
 
     def note_closed(self, connection: Waiting) -> None:
@@ -96,8 +111,7 @@
         own = self._sources.get(connection.source)
         if own is None:
             return
-        own.silent.pop(connection, None)
-        own.kept.pop(connection, None)
+        own.forget(connection)
         own.count -= 1
         self.count -= 1
         if not own.count:
@@ -110,8 +124,7 @@
         waiting = source.oldest()
         while waiting is not None:
             # Closing reports to note_closed only later in the event loop.
-            source.silent.pop(waiting, None)
-            source.kept.pop(waiting, None)
+            source.forget(waiting)
             if waiting.close_waiting():
                 self._on_full(f'closed.{why}')
                 return True
--- a/tests/test_caller_input.py
+++ b/tests/test_caller_input.py
@@ -58,8 +58,9 @@
 class Site:
     """A server whose connections get their bytes from the test."""
 
-    def __init__(self, capacity=None):
+    def __init__(self, capacity=None, bounds=LIMITS):
         self.received = []
+        self.bounds = bounds
         self.faults = []
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(
@@ -73,9 +74,9 @@
         self.front = caller_connections.CallerConnections(
             handler=self.answer,
             bounds=lambda: caller_connections.ConnectionBounds(
-                header_timeout_ms=LIMITS.header_timeout_ms,
-                idle_timeout_ms=LIMITS.idle_timeout_ms,
-                header_bytes=LIMITS.header_bytes,
+                header_timeout_ms=bounds.header_timeout_ms,
+                idle_timeout_ms=bounds.idle_timeout_ms,
+                header_bytes=bounds.header_bytes,
             ),
             limits=self.limits,
             metrics=observability.MetricsBook(),
@@ -85,7 +86,7 @@
     async def answer(self, request):
         holding = caller_bodies.open_holding(request, self.limits.budget)
         try:
-            body = await caller_bodies.read_body(request, holding, LIMITS)
+            body = await caller_bodies.read_body(request, holding, self.bounds)
         finally:
             holding.clear()
         if isinstance(body, verdicts.Outcome):
@@ -231,6 +232,41 @@
     assert [text for text in unhandled if 'Unhandled' in text] == []
 
 
+MALFORMED = [
+    b'1\r\naX\r\n',
+    b'1\r\na\rX',
+    b'1\r\nab\r\n',
+    b'\r\n',
+    b' 1\r\n',
+    b'+1\r\n',
+    b'0x1\r\n',
+    b'1_0\r\n',
+    b'-1\r\n',
+    b'1234567890\r\n',
+    b'1;' + b'a' * 5000,
+    b'0\r\n' + b'X: a\r\n' * 40,
+]
+
+
+@pytest.mark.parametrize('framing', MALFORMED)
+@pytest.mark.parametrize('step', [1, 10_000])
+def test_malformed_chunks_are_taken_for_a_body(framing, step):
+    decoder = callerlimits.ChunkDecoder(trailer_bytes_max=200)
+    with pytest.raises(callerlimits.MalformedBody):
+        for place in range(0, len(framing), step):
+            decoder.feed(framing[place : place + step], 1000)
+
+
+@pytest.mark.parametrize('sizes', [None, [65_536] * 63, [1] * 5000])
+async def test_longest_body_of_the_configuration_is_refused(sizes):
+    content = b'ab' * 2_097_152
+    site = Site(bounds=configuration.CallerLimits())
+    sent = encode((content, sizes))
+    await site.play(split_at(sent, range(0, len(sent), 250_000)))
+    assert site.received == [content]
+    assert site.limits.budget.used_bytes == 0
+
+
 SMALL = callerlimits.Capacity(
     bytes_max=1000, connections_max=4, source_connections_max=4, backlog=16
 )
@@ -270,6 +306,50 @@
     assert site.limits.gate.count == 0
 
 
+async def test_incomplete_bodies_keep_out_a_caller():
+    # Bodies that drip stay within their time limit for long.
+    site = Site(SMALL)
+    head = b'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\na'
+    dripping = [(site.front(), Transport()) for _ in range(4)]
+    for connection, transport in dripping:
+        connection.connection_made(transport)
+        connection.data_received(head)
+        await settle()
+    assert b' 200 ' in await site.play([encode((b'a', None))])
+    closed = [transport.is_closed for _connection, transport in dripping]
+    assert closed == [True, False, False, False]
+    for connection, _transport in dripping:
+        connection.connection_lost(None)
+    await settle(20)
+    assert site.limits.gate.count == 0
+
+
+async def test_request_in_progress_is_closed_for_a_new_connection():
+    site = Site(SMALL)
+    until = asyncio.Event()
+
+    async def wait(request):
+        await until.wait()
+        return web.Response()
+
+    site.front._answer = wait
+    busy = [(site.front(), Transport()) for _ in range(4)]
+    for connection, transport in busy:
+        connection.connection_made(transport)
+        connection.data_received(encode((b'a', None)))
+        await settle()
+    refused, transport = site.front(), Transport()
+    refused.connection_made(transport)
+    assert transport.is_closed
+    assert not any(transport.is_closed for _connection, transport in busy)
+    until.set()
+    await settle(20)
+    assert all(b' 200 ' in transport.written for _connection, transport in busy)
+    for connection, _transport in busy:
+        connection.connection_lost(None)
+    await settle(20)
+
+
 def test_small_chunks_use_the_processor_without_a_limit():
     allowance = callerlimits.ChunkAllowance()
     assert allowance.delay_s(100, 1000, 1000 * 4096) == 0
