--- a/src/carobslip/adapters/caller_bodies.py
+++ b/src/carobslip/adapters/caller_bodies.py
@@ -41,6 +41,19 @@
         # Most bodies arrive with their head; they need no time limit.
         return _check(request, holding, request.content.read_nowait(), limits)
     body = _Body()
+    try:
+        return await _read_parts(request, holding, limits, body)
+    finally:
+        # A cancelled task may stay in a reference cycle for long.
+        body.clear()
+
+
+async def _read_parts(
+    request: web.BaseRequest,
+    holding: callerlimits.Holding,
+    limits: configuration.CallerLimits,
+    body: '_Body',
+) -> bytes | verdicts.Outcome:
     started_s = asyncio.get_running_loop().time()
     while True:
         until_s = _read_until_s(request, started_s, body.size_bytes, limits)
@@ -91,6 +104,10 @@
         else:
             self._first = content
 
+    def clear(self) -> None:
+        self._first = b''
+        self._joined = bytearray()
+
     def content(self) -> bytes:
         return bytes(self._joined) or self._first
 
--- a/src/carobslip/adapters/caller_connections.py
+++ b/src/carobslip/adapters/caller_connections.py
@@ -61,6 +61,10 @@
         self._unsent = limits.budget.open(
             callerlimits.Use.ANSWER, self.close_unused
         )
+        #: A long answer that is written in parts.
+        self.answer = limits.budget.open(
+            callerlimits.Use.ANSWER, self.close_unused
+        )
         self._blocked_since_s: float | None = None
         self._blocked_before_s = 0.0
         self._unsent_at_block = 0
@@ -86,6 +90,8 @@
         self._link = None
         self.clear_input()
         self._unsent.clear()
+        self._limits.note_dropped(self.answer.size_bytes)
+        self.answer.clear()
         super().connection_lost(exc)
 
     def close_unused(self) -> None:
@@ -100,7 +106,8 @@
         self._blocked_since_s = self._clock()
         self._unsent_at_block = self._unsent_bytes()
         self._unsent_at_check = self._unsent_at_block
-        size_bytes = _TARGET_BUFFER_BYTES
+        # A long answer has been read to its end.
+        size_bytes = 0 if self.answer.size_bytes else _TARGET_BUFFER_BYTES
         if self.transport is not None:
             size_bytes += self.transport.get_write_buffer_size()
         self._unsent.force(size_bytes)
@@ -164,6 +171,7 @@
         if unsent_bytes < self._unsent_at_check:
             self._unsent_at_check = unsent_bytes
             self._unsent.progress_s = self._clock()
+            self.answer.progress_s = self._unsent.progress_s
         blocked_s = self._clock() - self._blocked_since_s
         left_s = callerlimits.transfer_left_s(
             spent_s=self._blocked_before_s + blocked_s,
--- a/src/carobslip/adapters/client_limits.py
+++ b/src/carobslip/adapters/client_limits.py
@@ -1,5 +1,6 @@
 """What all callers' connections of a process share."""
 
+import gc
 import time
 from typing import Final
 
@@ -9,6 +10,8 @@
 #: The instance that is assumed if the settings do not describe it.
 _MEMORY_MB: Final = 200
 _DESCRIPTORS: Final = 4100
+#: Part of the budget that cancelled requests may take until the collector runs.
+_DROPPED_SHARE: Final = 0.1
 
 
 def new_budget() -> callerlimits.ByteBudget:
@@ -44,6 +47,7 @@
     ) -> None:
         self.capacity = capacity or _usual_capacity()
         self._metrics = metrics
+        self._dropped_bytes = 0
         self._report = callerlimits.LimitReport(log=log, metrics=metrics)
         self.budget = callerlimits.ByteBudget(
             bytes_max=self.capacity.bytes_max,
@@ -58,6 +62,14 @@
         )
         self.chunks = callerlimits.ChunkAllowance()
 
+    def note_dropped(self, size_bytes: int) -> None:
+        """Notes bytes of a cancelled request.
+
+        Its task is in a reference cycle with its error, so that the bytes stay
+        until the collector runs; it counts objects, not their size.
+        """
+        self._dropped_bytes += size_bytes
+
     def count(self, event: observability.Event, what: str) -> None:
         """Counts an action of a limit."""
         self._report.count(event, what)
@@ -65,6 +77,9 @@
     def write_report(self) -> None:
         """Writes the log lines that are due and the levels."""
         self.budget.trim()
+        if self._dropped_bytes > _DROPPED_SHARE * self.capacity.bytes_max:
+            self._dropped_bytes = 0
+            gc.collect()
         held_bytes = self.budget.used_bytes
         connections = self.gate.count
         self._metrics.level('caller_bytes_held', held_bytes)
--- a/src/carobslip/callerlimits/_capacity.py
+++ b/src/carobslip/callerlimits/_capacity.py
@@ -7,9 +7,9 @@
 #: Memory that a process takes without callers, with a large fleet.
 _BASE_MB: Final = 96
 _BYTES_PER_MB: Final = 1_048_576
-#: The budget counts payload. Objects, copies while a body is joined, and memory
-#: that the allocator keeps take as much again.
-_OVERHEAD_FACTOR: Final = 2
+#: The budget counts payload. Objects, copies while a body is joined, buffers of
+#: the event loop, and memory that the allocator keeps take more than it.
+_OVERHEAD_FACTOR: Final = 2.5
 #: Smallest part of the memory that callers get if there is little.
 _LEAST_SHARE: Final = 0.125
 #: Descriptors beside those of callers and targets: store, peers, log, sockets.
--- a/tests/test_caller_input.py
+++ b/tests/test_caller_input.py
@@ -252,10 +252,14 @@
 @pytest.mark.parametrize('step', [1, 10_000])
 def test_malformed_chunks_are_taken_for_a_body(framing, step):
     decoder = callerlimits.ChunkDecoder(trailer_bytes_max=200)
-    with pytest.raises(callerlimits.MalformedBody):
+
+    def feed():
         for place in range(0, len(framing), step):
             decoder.feed(framing[place : place + step], 1000)
 
+    with pytest.raises(callerlimits.MalformedBody):
+        feed()
+
 
 @pytest.mark.parametrize('sizes', [None, [65_536] * 63, [1] * 5000])
 async def test_longest_body_of_the_configuration_is_refused(sizes):
