--- a/src/carobslip/adapters/caller_connections.py
+++ b/src/carobslip/adapters/caller_connections.py
@@ -21,7 +21,7 @@
 #: The parser stops reading when twice this much of a body is not yet read.
 _BODY_BUFFER_BYTES: Final = 32_768
 #: What the connection to a target buffers while a caller does not read.
-_TARGET_BUFFER_BYTES: Final = 393_216
+_TARGET_BUFFER_BYTES: Final = 196_608
 #: How long the rest of a refused body is read, so that the refusal arrives.
 _LINGER_S: Final = 3.0
 _Event = observability.Event
--- a/src/carobslip/adapters/caller_input.py
+++ b/src/carobslip/adapters/caller_input.py
@@ -7,14 +7,13 @@
 """
 
 import asyncio
-import enum
 import time
 from typing import Any, Final
 
 from aiohttp import http, web
 
 from carobslip import callerlimits, observability
-from carobslip.adapters import client_limits
+from carobslip.adapters import caller_states, client_limits
 
 #: Chunks that are decoded before other connections get a turn.
 _CHUNKS_PER_TURN: Final = 1000
@@ -22,6 +21,8 @@
 _ADVANCE_INTERVAL_S: Final = 0.05
 #: Heads of up to this size are not counted once they are parsed.
 _SMALL_HEAD_BYTES: Final = 2048
+#: Reads of up to this size are not counted until the handler takes them.
+_SMALL_READ_BYTES: Final = 16_384
 #: A parsed head as bytes, as text and as objects takes this many times its size.
 _PARSED_FACTOR: Final = 4
 _HEAD_END: Final = b'\r\n\r\n'
@@ -30,25 +31,8 @@
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
 )
 _Event = observability.Event
-
-
-class BodyFault(enum.Enum):
-    """Why a body ended before it was complete."""
-
-    MALFORMED = enum.auto()
-    NO_MEMORY = enum.auto()
-
-
-class Input(enum.Enum):
-    """What a connection expects next from its caller."""
-
-    HEAD = enum.auto()
-    BODY = enum.auto()
-    CHUNKS = enum.auto()
-    #: The request is complete and not answered yet.
-    ANSWER = enum.auto()
-    #: Nothing more is accepted.
-    NOTHING = enum.auto()
+Input = caller_states.Input
+BodyFault = caller_states.BodyFault
 
 
 class CallerInput(web.RequestHandler):
@@ -94,6 +78,11 @@
         self._received = limits.budget.open(
             callerlimits.Use.HEAD, self._drop_received
         )
+        #: Content that the parser has and the handler has not taken. One turn of
+        #: the event loop reads from all sockets before any handler runs.
+        self._arrived = limits.budget.open(
+            callerlimits.Use.BODY, self._drop_received
+        )
         self._parsed = limits.budget.open(
             callerlimits.Use.BODY, self._drop_received
         )
@@ -113,6 +102,8 @@
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Reads on, unless the connection is held back here."""
+        if resume_parser and self._arrived.size_bytes:
+            self._arrived.clear()
         super().resume_reading(resume_parser)
         if self._is_held:
             self._pause_transport_reading()
@@ -136,6 +127,7 @@
         self._input = Input.NOTHING
         self._received.clear()
         self._parsed.clear()
+        self._arrived.clear()
         self._head = bytearray()
         self._unread = b''
 
@@ -286,12 +278,23 @@
         piece = (
             data if len(data) <= self._body_left else data[: self._body_left]
         )
+        if not self._count_arrived(len(piece)):
+            return b''
         self._body_left -= len(piece)
         self._parse(piece)
         if not self._body_left:
             self._end_input()
         return data[len(piece) :]
 
+    def _count_arrived(self, size_bytes: int) -> bool:
+        """Counts a large read; ends the body if memory is short."""
+        if size_bytes <= _SMALL_READ_BYTES:
+            return True
+        if self._arrived.resize(self._arrived.size_bytes + size_bytes):
+            return True
+        self.end_body(BodyFault.NO_MEMORY)
+        return False
+
     def _take_chunks(self, data: bytes) -> bytes:
         """Passes on chunks; returns what may be taken next."""
         decoder = self._decoder
@@ -302,6 +305,8 @@
             self._limits.count(_Event.CALLER_INPUT_REFUSED, 'chunks')
             self.end_body(BodyFault.MALFORMED)
             return b''
+        if not self._count_arrived(len(content)):
+            return b''
         if content:
             self._parse(b'%x\r\n%b\r\n' % (len(content), content))
         if decoder.is_complete:
