--- a/src/carobslip/expertmap/__init__.py
+++ b/src/carobslip/expertmap/__init__.py
@@ -16,7 +16,6 @@
 from carobslip.expertmap._group_coordinator import (
     GroupCoordinator,
     GroupCoordinatorSettings,
-    RankUpdate,
 )
 from carobslip.expertmap._group_map import (
     ArmedMap,
@@ -52,6 +51,8 @@
     rebuild_from_scratch,
     step_time,
 )
+from carobslip.expertmap._plan import MapPlan, MapPlanner, PlanBounds
+from carobslip.expertmap._plan_settings import PlanSettings, plan_settings
 from carobslip.expertmap._rank import (
     Decision,
     Order,
@@ -62,6 +63,8 @@
     RankSwitch,
 )
 from carobslip.expertmap._rank_guard import RankGuard, send_order
+from carobslip.expertmap._rank_updates import RankUpdate
+from carobslip.expertmap._step_margin import StepMargin
 from carobslip.expertmap._switch import GroupSwitch, SwitchResult
 
 __all__ = [
@@ -84,6 +87,8 @@
     'Layout',
     'LayoutReader',
     'LayoutWriter',
+    'MapPlan',
+    'MapPlanner',
     'MapVersion',
     'Order',
     'OrderEnd',
@@ -92,6 +97,8 @@
     'Phase',
     'Placement',
     'PlacementSettings',
+    'PlanBounds',
+    'PlanSettings',
     'Promise',
     'RankAnswer',
     'RankEngine',
@@ -103,6 +110,7 @@
     'RankUnreachable',
     'RankUpdate',
     'Ranks',
+    'StepMargin',
     'SwitchEnd',
     'SwitchResult',
     'balance',
@@ -112,6 +120,7 @@
     'join_ranks',
     'moved_replicas',
     'place_experts',
+    'plan_settings',
     'rank_times',
     'read_counts',
     'rebuild_from_scratch',
--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import Annotated, Final
+from typing import Final
 
 import msgspec
 
@@ -11,9 +11,15 @@
     _balance,
     _coordinator_numbers,
     _count_codec,
+    _expert_demand,
     _group_map,
     _group_times,
+    _load_planning,
     _orders,
+    _plan,
+    _plan_settings,
+    _rank_updates,
+    _step_margin,
     _switch,
 )
 
@@ -30,9 +36,6 @@
 _REPORT_TRANSIT_MS: Final = 100.0
 #: Requests for the experts of a rank; a lost answer concerns that rank alone.
 _LAYOUT_ATTEMPTS: Final = 3
-#: Decay factor of older selection counts per period; the popularity of experts
-#: shifts every few seconds.
-_DECAY_FACTOR: Final = 0.3
 #: Decayed sum of selections below which no new layout is planned.
 _SELECTIONS_MIN: Final = 500.0
 #: Below this share of its slots in use a group has low load. Passes are then
@@ -41,26 +44,8 @@
 #: falls by three tenths.
 _LOW_LOAD_SHARE: Final = 0.5
 _LOW_LOAD_GAIN_MIN: Final = 0.3
-
-
-class RankUpdate(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Update that a guard sends to the coordinator of its engine's group.
-
-    Attributes:
-        report: The engine's report.
-        sequence: Number of this update at its guard; duplicates are dropped.
-        counts: Encoded selection counts by set and expert since the previous
-            update.
-        address: Address at which the engine takes calls.
-    """
-
-    report: _group_map.RankReport
-    sequence: int
-    counts: Annotated[
-        bytes,
-        msgspec.Meta(max_length=_count_codec.COUNTS_MAX),
-    ]
-    address: str
+#: Switches that may follow each other without a pause, as paces change.
+_SWITCHES_IN_A_ROW: Final = 2
 
 
 class GroupCoordinatorSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,20 +56,15 @@
         experts: Experts in a set.
         slots: Requests that an engine runs at once.
         bounds: Bounds of new layouts.
+        planning: How a contended service plans its maps; None for a service
+            whose layouts only have to fit ``bounds``.
     """
 
     sets: int
     experts: int
     slots: int
     bounds: _balance.BalanceBounds
-
-
-class _LatestUpdate:
-    """The latest update of a rank and its time of receipt."""
-
-    def __init__(self, update: RankUpdate, now_ms: float) -> None:
-        self.update = update
-        self.received_ms = now_ms
+    planning: _plan_settings.PlanSettings | None = None
 
 
 class GroupCoordinator:
@@ -123,16 +103,16 @@
         self._log = log
         self._supervisor = tasks.Supervisor(log=log)
         self._engines_fence = engines_fence
-        self._latest: dict[int, _LatestUpdate] = {}
-        self._tokens: list[list[float]] = []
-        self._recent_counts: list[float] = []
+        self._updates = _rank_updates.LatestUpdates(clock=clock)
+        self._demand = _expert_demand.ExpertDemand()
+        self._load_planner = _load_planning.LoadPlanner()
         self._layout: _group_map.Layout | None = None
         self._epoch = 0
         self._fence = _coordinator_numbers.first_fence(
             clock.wall_ms(), own_rank
         )
         self._unfinished_since_ms: float | None = None
-        self._step_margin = _switch.STEP_MARGIN_MIN
+        self._margin = _step_margin.StepMargin(size=size)
         self._work: asyncio.Task[None] | None = None
         self._probes: dict[int, asyncio.Task[None]] = {}
         self._failed_probes: dict[int, int] = {}
@@ -175,44 +155,38 @@
         Ranks that have never reported are included while the group is broken,
         as such a rank may be the cause.
         """
-        known = [
-            (
-                latest.update.address,
-                latest.update.report.running,
-                latest.update.report.waiting,
-            )
-            for _rank, latest in sorted(self._latest.items())
-        ]
+        known = self._updates.loads()
         if not self.is_broken:
             return known
-        reports = [latest.update.report for latest in self._latest.values()]
-        size = max((report.size for report in reports), default=0)
+        latest = self._updates.by_rank
+        size = max(
+            (one.update.report.size for one in latest.values()), default=0
+        )
         addresses = [
             self._ranks.address_of(rank)
             for rank in range(size)
-            if rank not in self._latest
+            if rank not in latest
         ]
         return known + [(one, 0, 0) for one in addresses if one is not None]
 
-    def record_update(self, update: RankUpdate) -> None:
+    def record_update(self, update: _rank_updates.RankUpdate) -> None:
         """Records an update of a rank; drops duplicates."""
-        rank = update.report.rank
-        known = self._latest.get(rank)
-        if known is not None:
-            same_address = known.update.address == update.address
-            if same_address and update.sequence == known.update.sequence:
-                return
+        if self._updates.is_duplicate(update):
+            return
         self._store_update(update)
+        if update.report.rank == self._own_rank:
+            self._margin.note_step(update.report.step, self._clock.now_ms())
         if update.counts:
-            self._add_counts(_count_codec.read_counts(update.counts))
+            self._demand.add(_count_codec.read_counts(update.counts))
 
     def probe_and_rebalance(self) -> None:
         """Runs once a period; switches run in a separate task."""
-        self._decay_counts()
+        settings = self.settings
+        if settings is not None:
+            self._demand.decay(sets=settings.sets, experts=settings.experts)
         self._probe_silent_ranks()
         if self._work is not None and not self._work.done():
             return
-        settings = self.settings
         if settings is None:
             return
         if not self.is_open:
@@ -253,12 +227,9 @@
             if rank < size
         }
         for rank in range(size):
-            latest = self._latest.get(rank)
             running_probe = self._probes.get(rank)
             is_asked = running_probe is not None and not running_probe.done()
-            if is_asked or (
-                latest is not None and latest.received_ms >= oldest_ms
-            ):
+            if is_asked or self._updates.is_fresh(rank, oldest_ms):
                 continue
             self._probes[rank] = self._supervisor.run_once(
                 self._probe_rank(rank)
@@ -282,7 +253,7 @@
                 self._failed_probes.get(rank, 0) + failures
             )
             return
-        update = RankUpdate(
+        update = _rank_updates.RankUpdate(
             report=answer.report,
             sequence=0,
             counts=b'',
@@ -290,20 +261,18 @@
         )
         self._store_update(update)
 
-    def _store_update(self, update: RankUpdate) -> None:
-        rank = update.report.rank
-        self._latest[rank] = _LatestUpdate(update, self._clock.now_ms())
-        self._failed_probes.pop(rank, None)
+    def _store_update(self, update: _rank_updates.RankUpdate) -> None:
+        self._updates.store(update)
+        self._failed_probes.pop(update.report.rank, None)
 
     def _has_lost_rank(self) -> bool:
         """Tells whether neither guard nor engine of a rank answers."""
         oldest_ms = self._clock.now_ms() - self._times.report_fresh_ms
-        for rank, count in self._failed_probes.items():
-            latest = self._latest.get(rank)
-            is_fresh = latest is not None and latest.received_ms >= oldest_ms
-            if count >= _FAILED_PROBES_MAX and not is_fresh:
-                return True
-        return False
+        return any(
+            count >= _FAILED_PROBES_MAX
+            and not self._updates.is_fresh(rank, oldest_ms)
+            for rank, count in self._failed_probes.items()
+        )
 
     async def _rebalance(
         self, settings: GroupCoordinatorSettings, size: int
@@ -317,20 +286,56 @@
         if layout is None:
             await self._refresh_layout(size)
             return
-        waited_ms = self._clock.now_ms() - self._switch_began_ms
-        if waited_ms < self._times.switch_interval_ms:
+        if settings.planning is not None:
+            await self._follow_load(settings, settings.planning, size)
             return
-        plan = self._plan(settings, layout)
+        if self._waited_ms() < self._times.switch_interval_ms:
+            return
+        plan = self._plan_by_balance(settings, layout)
         if plan is not None:
             await self._run_switch(size, layout, plan)
 
-    def _plan(
+    async def _follow_load(
+        self,
+        settings: GroupCoordinatorSettings,
+        planning: _plan_settings.PlanSettings,
+        size: int,
+    ) -> None:
+        """Plans and switches maps of a contended service.
+
+        A change of pace does not wait for the interval. One that is reported
+        during a switch leads to another plan directly after it.
+        """
+        for _ in range(_SWITCHES_IN_A_ROW):
+            reports = self._fresh_reports()
+            layout = self._layout
+            if layout is None or len(reports) != size:
+                return
+            is_due = self._waited_ms() >= planning.interval_ms
+            if not is_due and not self._load_planner.is_pace_new(reports):
+                return
+            if self._demand.total < _SELECTIONS_MIN:
+                return
+            plan = await self._load_planner.plan(
+                layout,
+                self._demand.tokens,
+                reports,
+                _scale_to_load(planning.bounds, reports, settings.slots),
+            )
+            if plan is None:
+                return
+            await self._run_switch(size, layout, plan)
+
+    def _waited_ms(self) -> float:
+        return self._clock.now_ms() - self._switch_began_ms
+
+    def _plan_by_balance(
         self,
         settings: GroupCoordinatorSettings,
         layout: _group_map.Layout,
     ) -> _balance.BalancePlan | None:
-        selections = sum(sum(tokens) for tokens in self._tokens)
-        if selections < _SELECTIONS_MIN or len(self._tokens) != len(layout):
+        tokens = self._demand.tokens
+        if self._demand.total < _SELECTIONS_MIN or len(tokens) != len(layout):
             return None
         reports = self._fresh_reports()
         slowdowns = [report.pace for report in reports]
@@ -340,18 +345,19 @@
             bounds = msgspec.structs.replace(
                 bounds, gain_min=_LOW_LOAD_GAIN_MIN
             )
-        return _balance.balance(layout, self._tokens, bounds, slowdowns)
+        return _balance.balance(layout, tokens, bounds, slowdowns)
 
     async def _run_switch(
         self,
         size: int,
         layout: _group_map.Layout | None,
-        plan: _balance.BalancePlan | None,
+        plan: _balance.BalancePlan | _plan.MapPlan | None,
     ) -> None:
         if layout is None:
             layout = await self._fetch_layout(size)
         began_ms = self._clock.now_ms()
         self._switch_began_ms = began_ms
+        margin = self._choose_margin()
         switch = _switch.GroupSwitch(
             ranks=self._ranks,
             size=size,
@@ -360,7 +366,7 @@
             fence=self._fence,
             clock=self._clock,
             engines_fence=self._engines_fence,
-            step_margin=self._step_margin,
+            step_margin=margin,
             version_min=self._version_used,
         )
         if plan is None or layout is None:
@@ -373,7 +379,7 @@
             )
         self._version_used = switch.version
         self._switch_ended_ms = self._clock.now_ms()
-        self._adapt_margin(switch.lost_orders)
+        self._margin.note_switch(switch.lost_orders, switch.arming_ms)
         switched = result is _switch.SwitchResult.SWITCHED
         if switched and plan is not None:
             self._layout = plan.layout
@@ -393,21 +399,19 @@
             why=switch.why,
             fence=self._fence,
             knows_layout=layout is not None,
-            copies=0 if plan is None else plan.copies,
             lost_orders=switch.lost_orders,
-            skew_before=0 if plan is None else round(plan.skew_before, 2),
-            skew_after=0 if plan is None else round(plan.skew_after, 2),
+            margin=margin,
+            arming_ms=_rounded(switch.arming_ms),
+            pass_ms=round(self._margin.pass_ms),
+            **_plan_fields(plan, self._margin.pass_ms),
             took_ms=round(self._clock.now_ms() - began_ms),
         )
 
-    def _adapt_margin(self, lost_orders: int) -> None:
-        """Schedules switches further ahead while orders get lost."""
-        if lost_orders:
-            wider = 2 * self._step_margin
-            self._step_margin = min(wider, _switch.STEP_MARGIN_MAX)
-        else:
-            closer = self._step_margin - 1
-            self._step_margin = max(closer, _switch.STEP_MARGIN_MIN)
+    def _choose_margin(self) -> int:
+        settings = self.settings
+        if settings is None or settings.planning is None:
+            return self._margin.by_losses()
+        return self._margin.by_times()
 
     async def _refresh_layout(self, size: int) -> None:
         self._layout = await self._fetch_layout(size)
@@ -460,17 +464,12 @@
         if why == self._waiting_for:
             return
         self._waiting_for = why
-        now_ms = self._clock.now_ms()
         self._log.write(
             observability.Event.MAP_WAITING,
             group=self.group,
             epoch=self._epoch,
             why=why,
-            silent_ms={
-                rank: round(now_ms - latest.received_ms)
-                for rank, latest in sorted(self._latest.items())
-                if now_ms - latest.received_ms > self._times.probe_after_ms
-            },
+            silent_ms=self._updates.silent_ms(self._times.probe_after_ms),
             **inputs,
         )
 
@@ -516,44 +515,7 @@
         self,
         oldest_ms: float,
     ) -> list[_group_map.RankReport]:
-        return [
-            latest.update.report
-            for _rank, latest in sorted(self._latest.items())
-            if latest.received_ms >= oldest_ms
-        ]
-
-    def _add_counts(self, counts: Sequence[int]) -> None:
-        if len(counts) == len(self._recent_counts):
-            self._recent_counts = [
-                known + count
-                for known, count in zip(
-                    self._recent_counts, counts, strict=True
-                )
-            ]
-        elif counts:
-            self._recent_counts = [float(count) for count in counts]
-
-    def _decay_counts(self) -> None:
-        settings = self.settings
-        if settings is None:
-            return
-        width = settings.experts
-        if len(self._recent_counts) != settings.sets * width:
-            return
-        fresh = [
-            self._recent_counts[begin : begin + width]
-            for begin in range(0, len(self._recent_counts), width)
-        ]
-        if len(self._tokens) != len(fresh):
-            self._tokens = [[0.0] * width for _one in fresh]
-        self._tokens = [
-            [
-                _DECAY_FACTOR * old + new
-                for old, new in zip(older, newer, strict=True)
-            ]
-            for older, newer in zip(self._tokens, fresh, strict=True)
-        ]
-        self._recent_counts = [0.0] * len(self._recent_counts)
+        return self._updates.reports_since(oldest_ms)
 
 
 def _have_same_map(answers: Sequence[_orders.RankAnswer]) -> bool:
@@ -563,3 +525,41 @@
         if answer.report is not None
     }
     return len(versions) == 1
+
+
+def _scale_to_load(
+    bounds: _plan.PlanBounds,
+    reports: Sequence[_group_map.RankReport],
+    slots: int,
+) -> _plan.PlanBounds:
+    """Returns the bounds for the load of a group.
+
+    Below half of its slots in use a group has short passes under any map, and
+    the time that a map gains is worth less.
+    """
+    running = sum(report.running for report in reports)
+    share = running / max(1, slots * len(reports))
+    factor = min(1.0, share / _LOW_LOAD_SHARE)
+    return msgspec.structs.replace(bounds, valid_ms=bounds.valid_ms * factor)
+
+
+def _plan_fields(
+    plan: _balance.BalancePlan | _plan.MapPlan | None,
+    pass_ms: float,
+) -> dict[str, object]:
+    """Returns the fields of a log event that describe a plan."""
+    if plan is None:
+        return {'copies': 0, 'skew_before': 0, 'skew_after': 0}
+    fields: dict[str, object] = {
+        'copies': plan.copies,
+        'skew_before': round(plan.skew_before, 2),
+        'skew_after': round(plan.skew_after, 2),
+    }
+    if isinstance(plan, _plan.MapPlan):
+        fields['dropped'] = plan.dropped
+        fields['expected_pass_ms'] = round(pass_ms * plan.pass_ratio)
+    return fields
+
+
+def _rounded(time_ms: float | None) -> int | None:
+    return None if time_ms is None else round(time_ms)
--- /dev/null
+++ b/src/carobslip/expertmap/_load_planning.py
@@ -0,0 +1,79 @@
+"""Plans maps of a contended service without blocking the event loop."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+from typing import Final
+
+from carobslip.expertmap import _group_map, _plan
+
+#: The event loop runs other tasks after this much planning. One step is added
+#: to it, and processes have a part of a core.
+_SLICE_S: Final = 0.003
+#: Pause between two slices, so that planning uses at most about half a core.
+_PAUSE_S: Final = 0.002
+#: A rank whose pace has changed by this factor since the last plan needs
+#: another one at once.
+_NEW_PACE_RATIO: Final = 1.25
+
+
+class LoadPlanner:
+    """Plans maps from reports, and tells when paces need a new plan."""
+
+    def __init__(self) -> None:
+        self._planned_paces: list[float] = []
+
+    def is_pace_new(self, reports: Sequence[_group_map.RankReport]) -> bool:
+        """Tells whether a rank's pace has changed since the last plan."""
+        if len(reports) != len(self._planned_paces):
+            return False
+        return any(
+            _differs(_pace_of(report), pace)
+            for report, pace in zip(reports, self._planned_paces, strict=True)
+        )
+
+    async def plan(
+        self,
+        layout: _group_map.Layout,
+        tokens: Sequence[Sequence[float]],
+        reports: Sequence[_group_map.RankReport],
+        bounds: _plan.PlanBounds,
+    ) -> _plan.MapPlan | None:
+        """Returns a plan; None if keeping the map is no worse.
+
+        Args:
+            layout: The layout in force.
+            tokens: Recent load by set and expert.
+            reports: Recent reports of all ranks.
+            bounds: Bounds of the switch.
+        """
+        self._planned_paces = [_pace_of(report) for report in reports]
+        if not _has_shape(tokens, layout):
+            return None
+        planner = _plan.MapPlanner(layout, tokens, self._planned_paces, bounds)
+        began_s = time.perf_counter()
+        for _ in planner.steps():
+            if time.perf_counter() - began_s >= _SLICE_S:
+                await asyncio.sleep(_PAUSE_S)
+                began_s = time.perf_counter()
+        return planner.plan()
+
+
+def _pace_of(report: _group_map.RankReport) -> float:
+    return max(report.pace, 0.01)
+
+
+def _differs(pace: float, planned: float) -> bool:
+    return max(pace, planned) > _NEW_PACE_RATIO * min(pace, planned)
+
+
+def _has_shape(
+    tokens: Sequence[Sequence[float]], layout: _group_map.Layout
+) -> bool:
+    """Tells whether the counts are those of the experts of a layout."""
+    if len(tokens) != len(layout):
+        return False
+    return all(
+        {expert for rank in ranks for expert in rank} == set(range(len(counts)))
+        for ranks, counts in zip(layout, tokens, strict=True)
+    )
--- /dev/null
+++ b/src/carobslip/expertmap/_plan_settings.py
@@ -0,0 +1,66 @@
+"""Bounds of the plans of a contended service, by the size of its group."""
+
+from typing import Final
+
+import msgspec
+
+from carobslip.expertmap import _plan
+
+#: Shortest time between the starts of two switches. Maps that follow the load
+#: more closely cost more in longer passes, as copies run all the time.
+_INTERVAL_MS: Final = 580.0
+#: Time for the copies of one switch at a rank.
+_COPIES_MS: Final = 75.0
+#: Copies of one switch in a whole group. A coordinator tells every rank all of
+#: them, and this many keep its messages below a quarter of a link of 4 Mbit/s.
+_GROUP_COPIES_MAX: Final = 200
+#: The popularity of experts shifts every three to four seconds, and a map takes
+#: effect about a second after a shift. On average it then suits the load for
+#: half of the rest.
+_VALID_MS: Final = 1500.0
+#: Ranks of which a group of _GROUP_COPIES_MAX copies may consist. The bytes of
+#: a switch grow with the copies and with the ranks that are told.
+_FULL_COPIES_RANKS: Final = 72
+
+
+class PlanSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How often and within which bounds maps are planned.
+
+    Attributes:
+        interval_ms: Shortest time between the starts of two switches.
+        bounds: Bounds of one switch.
+    """
+
+    interval_ms: float
+    bounds: _plan.PlanBounds
+
+
+def plan_settings(
+    *,
+    size: int,
+    places_per_rank: int,
+    expert_copy_ms: float,
+    new_experts_max: int,
+) -> PlanSettings:
+    """Returns the settings of a group of a contended service.
+
+    Args:
+        size: Ranks in the group.
+        places_per_rank: Experts of a set that fit on a rank.
+        expert_copy_ms: Time to copy one expert.
+        new_experts_max: New experts of a set that one order may add to a rank;
+            0 if unknown.
+    """
+    in_time = max(1, int(_COPIES_MS / max(1.0, expert_copy_ms)))
+    told = int(_GROUP_COPIES_MAX * min(1.0, _FULL_COPIES_RANKS / size))
+    return PlanSettings(
+        interval_ms=_INTERVAL_MS,
+        bounds=_plan.PlanBounds(
+            places_per_rank=places_per_rank,
+            new_experts_max=max(1, new_experts_max),
+            copies_per_rank=in_time,
+            group_copies_max=max(1, told),
+            expert_copy_ms=expert_copy_ms,
+            valid_ms=_VALID_MS,
+        ),
+    )
--- a/src/carobslip/expertmap/_switch.py
+++ b/src/carobslip/expertmap/_switch.py
@@ -91,6 +91,10 @@
     ) -> None:
         self._step_margin = step_margin
         self.lost_orders = 0
+        #: Time from the report that the step was chosen from until the rank
+        #: that was held could go on; None until then.
+        self.arming_ms: float | None = None
+        self._chosen_ms = 0.0
         self._ranks = ranks
         self._size = size
         self._own_rank = own_rank
@@ -296,6 +300,7 @@
     async def _hold(self) -> int | None:
         """Holds one of the next passes; returns its number."""
         for _ in range(_HOLD_ATTEMPTS):
+            self._chosen_ms = self._clock.now_ms()
             report = await self._report_of(self._own_rank)
             if report is None:
                 return None
@@ -483,11 +488,23 @@
             raise _Superseded
         if answer.end is _orders.OrderEnd.LOST:
             self.lost_orders += 1
+        if self._ends_hold(rank, order, answer):
+            self.arming_ms = self._clock.now_ms() - self._chosen_ms
         report = answer.report
         if report is not None and report.epoch != self._epoch:
             raise _Superseded
         return answer
 
+    def _ends_hold(
+        self,
+        rank: int,
+        order: _orders.RankOrder,
+        answer: _orders.RankAnswer,
+    ) -> bool:
+        is_go = order.kind is _orders.OrderKind.GO and rank == self._hold_rank
+        is_done = answer.end is _orders.OrderEnd.DONE
+        return is_go and is_done and self.arming_ms is None
+
     async def _report_of(
         self,
         rank: int,
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -395,6 +395,15 @@
         engine = self._engine_figures()
         if engine is None or not engine.expert_sets:
             return None
+        table = self._member.holder.configuration.forwarding
+        planning: expertmap.PlanSettings | None = None
+        if self._own.service in table.contended_services:
+            planning = expertmap.plan_settings(
+                size=size,
+                places_per_rank=engine.places_per_rank,
+                expert_copy_ms=engine.expert_copy_ms,
+                new_experts_max=engine.new_experts_max,
+            )
         return expertmap.GroupCoordinatorSettings(
             sets=engine.expert_sets,
             experts=engine.experts_per_set,
@@ -407,6 +416,7 @@
                     new_experts_max=engine.new_experts_max,
                 ),
             ),
+            planning=planning,
         )
 
     def _engine_figures(self) -> configuration.EngineFigures | None:
