--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -322,10 +322,13 @@
         answer: The outcome.
         lacks_layout: The order was not given, because its layout must be sent
             in full.
+        reads_compact: Layouts may be sent as compact deltas. Guards of earlier
+            versions do not answer this.
     """
 
     answer: expertmap.RankAnswer
     lacks_layout: bool = False
+    reads_compact: bool = False
 
 
 class Noted(_Message, frozen=True, kw_only=True):
--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -118,6 +118,7 @@
         self._failed_probes: dict[int, int] = {}
         self._began_ms = clock.now_ms()
         self._switch_began_ms = 0.0
+        self._planned_ms = 0.0
         self._version_used = 0
         self._waiting_for = ''
         self._switch_ended_ms = -_REPORT_TRANSIT_MS
@@ -289,7 +290,8 @@
         if settings.planning is not None:
             await self._follow_load(settings, settings.planning, size)
             return
-        if self._waited_ms() < self._times.switch_interval_ms:
+        waited_ms = self._clock.now_ms() - self._switch_began_ms
+        if waited_ms < self._times.switch_interval_ms:
             return
         plan = self._plan_by_balance(settings, layout)
         if plan is not None:
@@ -311,11 +313,13 @@
             layout = self._layout
             if layout is None or len(reports) != size:
                 return
-            is_due = self._waited_ms() >= planning.interval_ms
+            now_ms = self._clock.now_ms()
+            is_due = now_ms - self._planned_ms >= planning.interval_ms
             if not is_due and not self._load_planner.is_pace_new(reports):
                 return
             if self._demand.total < _SELECTIONS_MIN:
                 return
+            self._planned_ms = now_ms
             plan = await self._load_planner.plan(
                 layout,
                 self._demand.tokens,
@@ -326,9 +330,6 @@
                 return
             await self._run_switch(size, layout, plan)
 
-    def _waited_ms(self) -> float:
-        return self._clock.now_ms() - self._switch_began_ms
-
     def _plan_by_balance(
         self,
         settings: GroupCoordinatorSettings,
--- a/src/carobslip/expertmap/_layout_codec.py
+++ b/src/carobslip/expertmap/_layout_codec.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from carobslip import decoding, hashing
-from carobslip.expertmap import _group_map
+from carobslip.expertmap import _compact_delta, _group_map
 
 #: Bounds the decompressed size.
 _LAYOUT_MAX_BYTES: Final = 1_048_576
@@ -50,12 +50,14 @@
         self._layout: _group_map.Layout = ()
         self._whole: PackedLayout | None = None
         self._changes: PackedLayout | None = None
+        self._compact: PackedLayout | None = None
 
     def write(
         self,
         layout: _group_map.Layout,
         *,
         is_whole: bool = False,
+        is_compact: bool = False,
     ) -> PackedLayout:
         """Returns a layout, as a delta to the previous one if possible.
 
@@ -63,6 +65,7 @@
             layout: The layout.
             is_whole: Send the complete layout; the reader lacks the previous
                 one.
+            is_compact: The reader decodes compact deltas.
         """
         if self._whole is None or layout != self._layout:
             before = self._whole
@@ -72,14 +75,18 @@
                 content=_pack(layout),
             )
             self._changes = None
+            self._compact = None
             if before is not None and _shape(layout) == _shape(self._layout):
                 self._changes = PackedLayout(
                     digest=self._whole.digest,
                     base=before.digest,
                     content=_pack(_changes(self._layout, layout)),
                 )
+                self._compact = _compact(self._changes, self._layout, layout)
             self._layout = layout
-        return self._whole if is_whole else self._changes or self._whole
+        if is_whole or self._changes is None:
+            return self._whole
+        return (self._compact if is_compact else None) or self._changes
 
 
 class LayoutReader:
@@ -108,6 +115,8 @@
             )
             return whole
         base = self._cached.get(packed.base)
+        if base is not None and _compact_delta.is_compact(packed.content):
+            return _compact_delta.read_delta(base, packed.content)
         changes: tuple[_Change, ...] | None = _unpack(
             packed.content,
             tuple[_Change, ...],
@@ -117,6 +126,18 @@
         return _apply_changes(base, changes)
 
 
+def _compact(
+    delta: PackedLayout,
+    before: _group_map.Layout,
+    after: _group_map.Layout,
+) -> PackedLayout | None:
+    """Returns a delta in its compact form, if it has one."""
+    content = _compact_delta.write_delta(before, after)
+    if not content or _compact_delta.read_delta(before, content) != after:
+        return None
+    return msgspec.structs.replace(delta, content=content)
+
+
 def _shape(layout: _group_map.Layout) -> list[int]:
     return [len(ranks) for ranks in layout]
 
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -360,8 +360,10 @@
         update: expertmap.RankUpdate,
     ) -> None:
         group_coordinator = self._get_or_create_group_coordinator(report)
-        group_coordinator.settings = self._group_coordinator_settings(
-            report.size,
+        settings = self._group_coordinator_settings(report.size)
+        group_coordinator.settings = settings
+        self._peers.sends_compact = (
+            settings is not None and settings.planning is not None
         )
         group_coordinator.record_update(update)
         group_coordinator.probe_and_rebalance()
@@ -477,13 +479,14 @@
                 return control.RankOrdered(
                     answer=expertmap.RankAnswer(end=expertmap.OrderEnd.LOST),
                     lacks_layout=True,
+                    reads_compact=True,
                 )
             order = msgspec.structs.replace(order, layout=layout)
         if request.group is None or request.rank is None:
             answer = await self.rank_guard.order(order)
         else:
             answer = await self._arm_coordinator(request.group, order)
-        return control.RankOrdered(answer=answer)
+        return control.RankOrdered(answer=answer, reads_compact=True)
 
     async def _arm_coordinator(
         self,
--- a/src/carobslip/processes/_group_peers.py
+++ b/src/carobslip/processes/_group_peers.py
@@ -56,6 +56,9 @@
         self._log = log
         self._skipped_until_ms: dict[identifiers.InstanceId, float] = {}
         self._layouts = expertmap.LayoutWriter()
+        #: Whether guards that read compact deltas of layouts are sent them.
+        self.sends_compact = False
+        self._compact_readers: set[identifiers.InstanceId] = set()
         self._in_flight = asyncio.Semaphore(_ORDERS_IN_FLIGHT_MAX)
 
     def usable(
@@ -194,10 +197,15 @@
         is_whole: bool = False,
     ) -> control.RankOrdered:
         layout = None
+        reads_compact = peer.instance in self._compact_readers
         if order.layout:
-            layout = self._layouts.write(order.layout, is_whole=is_whole)
+            layout = self._layouts.write(
+                order.layout,
+                is_whole=is_whole,
+                is_compact=self.sends_compact and reads_compact,
+            )
         async with self._in_flight:
-            return await self._member.node.ask(
+            answer = await self._member.node.ask(
                 peer.control_address,
                 control.OrderRank(
                     order=msgspec.structs.replace(order, layout=()),
@@ -206,6 +214,11 @@
                 answer=control.RankOrdered,
                 timeout_ms=timeout_ms,
             )
+        if answer.reads_compact:
+            self._compact_readers.add(peer.instance)
+        else:
+            self._compact_readers.discard(peer.instance)
+        return answer
 
     async def _order_directly(
         self,
