--- a/src/carobslip/expertmap/__init__.py
+++ b/src/carobslip/expertmap/__init__.py
@@ -12,11 +12,9 @@
     RankUnreachable,
     SwitchEnd,
 )
+from carobslip.expertmap._coordinator_settings import GroupCoordinatorSettings
 from carobslip.expertmap._count_codec import CountsWriter, read_counts
-from carobslip.expertmap._group_coordinator import (
-    GroupCoordinator,
-    GroupCoordinatorSettings,
-)
+from carobslip.expertmap._group_coordinator import GroupCoordinator
 from carobslip.expertmap._group_map import (
     ArmedMap,
     Layout,
@@ -29,6 +27,7 @@
     LayoutWriter,
     PackedLayout,
 )
+from carobslip.expertmap._load_planning import LoadPlanner
 from carobslip.expertmap._map import ExpertMap, MapVersion
 from carobslip.expertmap._orders import (
     EngineControl,
@@ -87,6 +86,7 @@
     'Layout',
     'LayoutReader',
     'LayoutWriter',
+    'LoadPlanner',
     'MapPlan',
     'MapPlanner',
     'MapVersion',
--- a/src/carobslip/expertmap/_compact_delta.py
+++ b/src/carobslip/expertmap/_compact_delta.py
@@ -14,8 +14,8 @@
 #: First byte of a compact delta; compressed data with a header begins with
 #: another one, so that older readers reject a compact delta.
 _MARK: Final = b'\x01'
-#: Bits of the number of gained experts; a delta that needs more has no compact
-#: form.
+#: Bits of the number of gained experts. A delta with more of them at one rank
+#: is not read as the layout that was written.
 _GAINED_BITS: Final = 3
 _GAINED_MAX: Final = (1 << _GAINED_BITS) - 1
 #: Raw compressed data, without header and checksum.
@@ -32,34 +32,25 @@
 
 
 def write_delta(before: _group_map.Layout, after: _group_map.Layout) -> bytes:
-    """Returns the delta of two layouts of the same shape; b'' if it has none.
+    """Returns the delta of two layouts of the same shape.
 
     >>> delta = write_delta((((0, 1), (2,)),), (((0, 3), (2,)),))
     >>> read_delta((((0, 1), (2,)),), delta)
     (((0, 3), (2,)),)
     """
-    gaps: list[int] = []
     heads: list[int] = []
+    gaps: list[int] = []
     gained: list[int] = []
     last = -1
     pairs = zip(_ranks_of(before), _ranks_of(after), strict=True)
     for number, (old, new) in enumerate(pairs):
-        if old == new:
-            continue
-        added = sorted(set(new) - set(old))
-        if len(added) > _GAINED_MAX:
-            return b''
-        lost = sum(
-            1 << place for place, one in enumerate(old) if one not in new
-        )
-        gaps.append(number - last)
-        last = number
-        heads.append(lost << _GAINED_BITS | len(added))
-        gained += added
-    numbers = [len(gaps), *gaps, *heads, *gained]
-    compressor = zlib.compressobj(zlib.Z_BEST_COMPRESSION, wbits=_WINDOW_BITS)
-    packed = compressor.compress(b''.join(map(_write_number, numbers)))
-    return _MARK + packed + compressor.flush()
+        if old != new:
+            added = sorted(set(new) - set(old))
+            heads.append(_lost_places(old, new) << _GAINED_BITS | len(added))
+            gaps.append(number - last)
+            gained += added
+            last = number
+    return _MARK + _pack([len(gaps), *gaps, *heads, *gained])
 
 
 def read_delta(
@@ -97,14 +88,28 @@
     number = -1
     for gap, head in zip(gaps, heads, strict=True):
         number += gap
-        lost = head >> _GAINED_BITS
-        kept = [
-            expert
-            for place, expert in enumerate(ranks[number])
-            if not lost >> place & 1
-        ]
         added = [next(numbers) for _ in range(head & _GAINED_MAX)]
-        ranks[number] = tuple(sorted(kept + added))
+        ranks[number] = _replace(ranks[number], head >> _GAINED_BITS, added)
+
+
+def _replace(
+    experts: Sequence[int], lost: int, added: list[int]
+) -> tuple[int, ...]:
+    kept = [
+        expert for place, expert in enumerate(experts) if not lost >> place & 1
+    ]
+    return tuple(sorted(kept + added))
+
+
+def _lost_places(old: Sequence[int], new: Sequence[int]) -> int:
+    """Returns a bit mask of the places whose experts a rank gives up."""
+    return sum(1 << place for place, one in enumerate(old) if one not in new)
+
+
+def _pack(numbers: Sequence[int]) -> bytes:
+    compressor = zlib.compressobj(zlib.Z_BEST_COMPRESSION, wbits=_WINDOW_BITS)
+    packed = compressor.compress(b''.join(map(_write_number, numbers)))
+    return packed + compressor.flush()
 
 
 def _ranks_of(layout: _group_map.Layout) -> Sequence[tuple[int, ...]]:
--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -1,31 +1,30 @@
 """Coordinates one group: tracks its load and rebalances its layout."""
 
 import asyncio
-from collections.abc import Sequence
 from typing import Final
 
-import msgspec
-
 from carobslip import clocks, identifiers, observability, tasks
 from carobslip.expertmap import (
     _balance,
+    _balance_planning,
     _coordinator_numbers,
+    _coordinator_settings,
     _count_codec,
     _expert_demand,
     _group_map,
     _group_times,
+    _layout_fetch,
     _load_planning,
     _orders,
     _plan,
     _plan_settings,
+    _rank_probes,
     _rank_updates,
     _step_margin,
     _switch,
+    _switch_fields,
 )
 
-#: It counts as broken sooner if this many probes in a row of the rank's engine
-#: failed: then its machine is gone or hangs, not only its guard.
-_FAILED_PROBES_MAX: Final = 2
 #: A group counts as broken when a hold or a partly armed map is this old: it
 #: cannot be ended at present.
 _STUCK_AFTER_MS: Final = 600.0
@@ -34,39 +33,12 @@
 _RECOVER_AFTER_MS: Final = 200.0
 #: A report that arrives this long after a switch was made after it.
 _REPORT_TRANSIT_MS: Final = 100.0
-#: Requests for the experts of a rank; a lost answer concerns that rank alone.
-_LAYOUT_ATTEMPTS: Final = 3
 #: Decayed sum of selections below which no new layout is planned.
 _SELECTIONS_MIN: Final = 500.0
-#: Below this share of its slots in use a group has low load. Passes are then
-#: short under any layout, and copies pay off only if they lower the load of the
-#: most loaded rank by a twentieth. The imbalance, a sum of eighth powers, then
-#: falls by three tenths.
-_LOW_LOAD_SHARE: Final = 0.5
-_LOW_LOAD_GAIN_MIN: Final = 0.3
 #: Switches that may follow each other without a pause, as paces change.
 _SWITCHES_IN_A_ROW: Final = 2
 
 
-class GroupCoordinatorSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Parameters of the group's engines.
-
-    Attributes:
-        sets: Sets of layers with a map each.
-        experts: Experts in a set.
-        slots: Requests that an engine runs at once.
-        bounds: Bounds of new layouts.
-        planning: How a contended service plans its maps; None for a service
-            whose layouts only have to fit ``bounds``.
-    """
-
-    sets: int
-    experts: int
-    slots: int
-    bounds: _balance.BalanceBounds
-    planning: _plan_settings.PlanSettings | None = None
-
-
 class GroupCoordinator:
     """Plans and switches layouts while its guard coordinates the group.
 
@@ -96,7 +68,9 @@
         engines_fence: bool = False,
     ) -> None:
         self.group = group
-        self.settings: GroupCoordinatorSettings | None = None
+        self.settings: _coordinator_settings.GroupCoordinatorSettings | None = (
+            None
+        )
         self._own_rank = own_rank
         self._ranks = ranks
         self._clock = clock
@@ -105,7 +79,7 @@
         self._engines_fence = engines_fence
         self._updates = _rank_updates.LatestUpdates(clock=clock)
         self._demand = _expert_demand.ExpertDemand()
-        self._load_planner = _load_planning.LoadPlanner()
+        self._load_planner = _load_planning.LoadPlanner(clock=clock)
         self._layout: _group_map.Layout | None = None
         self._epoch = 0
         self._fence = _coordinator_numbers.first_fence(
@@ -114,25 +88,32 @@
         self._unfinished_since_ms: float | None = None
         self._margin = _step_margin.StepMargin(size=size)
         self._work: asyncio.Task[None] | None = None
-        self._probes: dict[int, asyncio.Task[None]] = {}
-        self._failed_probes: dict[int, int] = {}
         self._began_ms = clock.now_ms()
         self._switch_began_ms = 0.0
-        self._planned_ms = 0.0
         self._version_used = 0
         self._waiting_for = ''
         self._switch_ended_ms = -_REPORT_TRANSIT_MS
         self._times = _group_times.group_times(size)
+        self._probes = _rank_probes.RankProbes(
+            ranks=ranks,
+            updates=self._updates,
+            clock=clock,
+            times=self._times,
+            own_rank=own_rank,
+            supervisor=self._supervisor,
+        )
 
     @property
     def is_broken(self) -> bool:
         """Whether requests to the group would stall."""
-        if self._has_lost_rank():
+        if self._probes.has_lost_rank():
             return True
         now_ms = self._clock.now_ms()
         if now_ms - self._began_ms < self._times.rank_timeout_ms:
             return False
-        reports = self._reports_since(now_ms - self._times.rank_timeout_ms)
+        reports = self._updates.reports_since(
+            now_ms - self._times.rank_timeout_ms
+        )
         if not reports:
             return False
         since_ms = self._unfinished_since_ms
@@ -159,22 +140,15 @@
         known = self._updates.loads()
         if not self.is_broken:
             return known
-        latest = self._updates.by_rank
-        size = max(
-            (one.update.report.size for one in latest.values()), default=0
-        )
-        addresses = [
-            self._ranks.address_of(rank)
-            for rank in range(size)
-            if rank not in latest
-        ]
+        addresses = map(self._ranks.address_of, self._updates.missing_ranks())
         return known + [(one, 0, 0) for one in addresses if one is not None]
 
     def record_update(self, update: _rank_updates.RankUpdate) -> None:
         """Records an update of a rank; drops duplicates."""
         if self._updates.is_duplicate(update):
             return
-        self._store_update(update)
+        self._updates.store(update)
+        self._probes.note_answer(update.report.rank)
         if update.report.rank == self._own_rank:
             self._margin.note_step(update.report.step, self._clock.now_ms())
         if update.counts:
@@ -185,7 +159,12 @@
         settings = self.settings
         if settings is not None:
             self._demand.decay(sets=settings.sets, experts=settings.experts)
-        self._probe_silent_ranks()
+        reports = self._fresh_reports()
+        self._probes.probe_silent(
+            size=reports[0].size if reports else 0,
+            epoch=self._epoch,
+            fence=self._fence,
+        )
         if self._work is not None and not self._work.done():
             return
         if settings is None:
@@ -195,7 +174,7 @@
             self._note_waiting('not all ranks report an open group')
             self._recover_unfinished()
             return
-        report = self._fresh_reports()[0]
+        report = reports[0]
         if report.epoch != self._epoch:
             self._epoch = report.epoch
             self._layout = None
@@ -218,65 +197,10 @@
             self._run_switch(reports[0].size, None, None),
         )
 
-    def _probe_silent_ranks(self) -> None:
-        oldest_ms = self._clock.now_ms() - self._times.probe_after_ms
-        reports = self._fresh_reports()
-        size = reports[0].size if reports else 0
-        self._failed_probes = {
-            rank: count
-            for rank, count in self._failed_probes.items()
-            if rank < size
-        }
-        for rank in range(size):
-            running_probe = self._probes.get(rank)
-            is_asked = running_probe is not None and not running_probe.done()
-            if is_asked or self._updates.is_fresh(rank, oldest_ms):
-                continue
-            self._probes[rank] = self._supervisor.run_once(
-                self._probe_rank(rank)
-            )
-
-    async def _probe_rank(self, rank: int) -> None:
-        answer = await self._ranks.order(
-            rank,
-            _orders.RankOrder(
-                kind=_orders.OrderKind.REPORT,
-                epoch=self._epoch,
-                fence=self._fence,
-            ),
-            through=self._own_rank,
-        )
-        address = self._ranks.address_of(rank)
-        if answer.report is None or address is None:
-            # Without an address, no request was sent.
-            failures = 0 if address is None else 1
-            self._failed_probes[rank] = (
-                self._failed_probes.get(rank, 0) + failures
-            )
-            return
-        update = _rank_updates.RankUpdate(
-            report=answer.report,
-            sequence=0,
-            counts=b'',
-            address=address,
-        )
-        self._store_update(update)
-
-    def _store_update(self, update: _rank_updates.RankUpdate) -> None:
-        self._updates.store(update)
-        self._failed_probes.pop(update.report.rank, None)
-
-    def _has_lost_rank(self) -> bool:
-        """Tells whether neither guard nor engine of a rank answers."""
-        oldest_ms = self._clock.now_ms() - self._times.report_fresh_ms
-        return any(
-            count >= _FAILED_PROBES_MAX
-            and not self._updates.is_fresh(rank, oldest_ms)
-            for rank, count in self._failed_probes.items()
-        )
-
     async def _rebalance(
-        self, settings: GroupCoordinatorSettings, size: int
+        self,
+        settings: _coordinator_settings.GroupCoordinatorSettings,
+        size: int,
     ) -> None:
         layout = self._layout
         if self._has_unfinished_switch():
@@ -285,7 +209,7 @@
         if any(one.held or one.armed for one in self._reports_after_switch()):
             return
         if layout is None:
-            await self._refresh_layout(size)
+            self._layout = await self._fetch_layout(size)
             return
         if settings.planning is not None:
             await self._follow_load(settings, settings.planning, size)
@@ -293,13 +217,17 @@
         waited_ms = self._clock.now_ms() - self._switch_began_ms
         if waited_ms < self._times.switch_interval_ms:
             return
-        plan = self._plan_by_balance(settings, layout)
+        if self._demand.total < _SELECTIONS_MIN:
+            return
+        plan = _balance_planning.plan_layout(
+            layout, self._demand.tokens, self._fresh_reports(), settings
+        )
         if plan is not None:
             await self._run_switch(size, layout, plan)
 
     async def _follow_load(
         self,
-        settings: GroupCoordinatorSettings,
+        settings: _coordinator_settings.GroupCoordinatorSettings,
         planning: _plan_settings.PlanSettings,
         size: int,
     ) -> None:
@@ -313,41 +241,22 @@
             layout = self._layout
             if layout is None or len(reports) != size:
                 return
-            now_ms = self._clock.now_ms()
-            is_due = now_ms - self._planned_ms >= planning.interval_ms
-            if not is_due and not self._load_planner.is_pace_new(reports):
+            if not self._load_planner.is_due(planning.interval_ms, reports):
                 return
             if self._demand.total < _SELECTIONS_MIN:
                 return
-            self._planned_ms = now_ms
             plan = await self._load_planner.plan(
                 layout,
                 self._demand.tokens,
                 reports,
-                _scale_to_load(planning.bounds, reports, settings.slots),
+                _load_planning.scale_to_load(
+                    planning.bounds, reports, settings.slots
+                ),
             )
             if plan is None:
                 return
             await self._run_switch(size, layout, plan)
 
-    def _plan_by_balance(
-        self,
-        settings: GroupCoordinatorSettings,
-        layout: _group_map.Layout,
-    ) -> _balance.BalancePlan | None:
-        tokens = self._demand.tokens
-        if self._demand.total < _SELECTIONS_MIN or len(tokens) != len(layout):
-            return None
-        reports = self._fresh_reports()
-        slowdowns = [report.pace for report in reports]
-        bounds = settings.bounds
-        running = sum(report.running for report in reports)
-        if running < _LOW_LOAD_SHARE * settings.slots * len(reports):
-            bounds = msgspec.structs.replace(
-                bounds, gain_min=_LOW_LOAD_GAIN_MIN
-            )
-        return _balance.balance(layout, tokens, bounds, slowdowns)
-
     async def _run_switch(
         self,
         size: int,
@@ -402,9 +311,9 @@
             knows_layout=layout is not None,
             lost_orders=switch.lost_orders,
             margin=margin,
-            arming_ms=_rounded(switch.arming_ms),
+            arming_ms=_switch_fields.rounded(switch.arming_ms),
             pass_ms=round(self._margin.pass_ms),
-            **_plan_fields(plan, self._margin.pass_ms),
+            **_switch_fields.plan_fields(plan, self._margin.pass_ms),
             took_ms=round(self._clock.now_ms() - began_ms),
         )
 
@@ -414,51 +323,23 @@
             return self._margin.by_losses()
         return self._margin.by_times()
 
-    async def _refresh_layout(self, size: int) -> None:
-        self._layout = await self._fetch_layout(size)
-
     async def _fetch_layout(self, size: int) -> _group_map.Layout | None:
         """Fetches the experts of every rank; raises the fence if needed."""
-        told: dict[int, _orders.RankAnswer] = {}
-        for _ in range(_LAYOUT_ATTEMPTS):
-            order = _orders.RankOrder(
-                kind=_orders.OrderKind.REPORT,
-                epoch=self._epoch,
-                fence=self._fence,
-                with_experts=True,
-            )
-            asked = [rank for rank in range(size) if rank not in told]
-            answers = await asyncio.gather(
-                *(self._ranks.order(rank, order) for rank in asked),
-            )
-            highest = max(answer.fence for answer in answers)
-            if highest > self._fence:
-                self._fence = _coordinator_numbers.raise_fence(
-                    highest, self._own_rank
-                )
-            told.update(
-                (rank, answer)
-                for rank, answer in zip(asked, answers, strict=True)
-                if answer.experts
-            )
-            if len(told) == size:
-                return self._join_layout(told)
-        self._note_waiting(
-            'not all ranks told their experts',
-            without_experts=[rank for rank in range(size) if rank not in told],
+        fetch = _layout_fetch.LayoutFetch(
+            ranks=self._ranks,
+            own_rank=self._own_rank,
+            epoch=self._epoch,
+            fence=self._fence,
         )
-        return None
-
-    def _join_layout(
-        self,
-        told: dict[int, _orders.RankAnswer],
-    ) -> _group_map.Layout | None:
-        answers = [told[rank] for rank in sorted(told)]
-        if not _have_same_map(answers):
-            self._note_waiting('ranks have different maps')
-            return None
-        self._waiting_for = ''
-        return _group_map.join_ranks([answer.experts for answer in answers])
+        layout = await fetch.run(size)
+        self._fence = fetch.fence
+        if layout is not None:
+            self._waiting_for = ''
+        elif fetch.without_experts:
+            self._note_waiting(fetch.why, without_experts=fetch.without_experts)
+        else:
+            self._note_waiting(fetch.why)
+        return layout
 
     def _note_waiting(self, why: str, **inputs: object) -> None:
         """Records why no layout is planned, once for each reason in a row."""
@@ -500,7 +381,7 @@
 
     def _reports_after_switch(self) -> list[_group_map.RankReport]:
         """Returns fresh reports that were not made during the last switch."""
-        return self._reports_since(
+        return self._updates.reports_since(
             max(
                 self._clock.now_ms() - self._times.report_fresh_ms,
                 self._switch_ended_ms + _REPORT_TRANSIT_MS,
@@ -508,59 +389,6 @@
         )
 
     def _fresh_reports(self) -> list[_group_map.RankReport]:
-        return self._reports_since(
+        return self._updates.reports_since(
             self._clock.now_ms() - self._times.report_fresh_ms,
         )
-
-    def _reports_since(
-        self,
-        oldest_ms: float,
-    ) -> list[_group_map.RankReport]:
-        return self._updates.reports_since(oldest_ms)
-
-
-def _have_same_map(answers: Sequence[_orders.RankAnswer]) -> bool:
-    versions = {
-        answer.report.map_version
-        for answer in answers
-        if answer.report is not None
-    }
-    return len(versions) == 1
-
-
-def _scale_to_load(
-    bounds: _plan.PlanBounds,
-    reports: Sequence[_group_map.RankReport],
-    slots: int,
-) -> _plan.PlanBounds:
-    """Returns the bounds for the load of a group.
-
-    Below half of its slots in use a group has short passes under any map, and
-    the time that a map gains is worth less.
-    """
-    running = sum(report.running for report in reports)
-    share = running / max(1, slots * len(reports))
-    factor = min(1.0, share / _LOW_LOAD_SHARE)
-    return msgspec.structs.replace(bounds, valid_ms=bounds.valid_ms * factor)
-
-
-def _plan_fields(
-    plan: _balance.BalancePlan | _plan.MapPlan | None,
-    pass_ms: float,
-) -> dict[str, object]:
-    """Returns the fields of a log event that describe a plan."""
-    if plan is None:
-        return {'copies': 0, 'skew_before': 0, 'skew_after': 0}
-    fields: dict[str, object] = {
-        'copies': plan.copies,
-        'skew_before': round(plan.skew_before, 2),
-        'skew_after': round(plan.skew_after, 2),
-    }
-    if isinstance(plan, _plan.MapPlan):
-        fields['dropped'] = plan.dropped
-        fields['expected_pass_ms'] = round(pass_ms * plan.pass_ratio)
-    return fields
-
-
-def _rounded(time_ms: float | None) -> int | None:
-    return None if time_ms is None else round(time_ms)
--- a/src/carobslip/expertmap/_layout_codec.py
+++ b/src/carobslip/expertmap/_layout_codec.py
@@ -86,7 +86,9 @@
             self._layout = layout
         if is_whole or self._changes is None:
             return self._whole
-        return (self._compact if is_compact else None) or self._changes
+        if is_compact and self._compact is not None:
+            return self._compact
+        return self._changes
 
 
 class LayoutReader:
@@ -133,7 +135,7 @@
 ) -> PackedLayout | None:
     """Returns a delta in its compact form, if it has one."""
     content = _compact_delta.write_delta(before, after)
-    if not content or _compact_delta.read_delta(before, content) != after:
+    if _compact_delta.read_delta(before, content) != after:
         return None
     return msgspec.structs.replace(delta, content=content)
 
--- a/src/carobslip/expertmap/_load_planning.py
+++ b/src/carobslip/expertmap/_load_planning.py
@@ -1,10 +1,14 @@
 """Plans maps of a contended service without blocking the event loop."""
 
 import asyncio
+import math
 import time
 from collections.abc import Sequence
 from typing import Final
 
+import msgspec
+
+from carobslip import clocks
 from carobslip.expertmap import _group_map, _plan
 
 #: The event loop runs other tasks after this much planning. One step is added
@@ -15,22 +19,30 @@
 #: A rank whose pace has changed by this factor since the last plan needs
 #: another one at once.
 _NEW_PACE_RATIO: Final = 1.25
+#: Below this share of its slots in use a group has short passes under any map.
+_LOW_LOAD_SHARE: Final = 0.5
 
 
 class LoadPlanner:
-    """Plans maps from reports, and tells when paces need a new plan."""
+    """Plans maps from reports, and tells when a new plan is due.
+
+    Args:
+        clock: Monotonic time.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._planned_ms = -math.inf
         self._planned_paces: list[float] = []
 
-    def is_pace_new(self, reports: Sequence[_group_map.RankReport]) -> bool:
-        """Tells whether a rank's pace has changed since the last plan."""
-        if len(reports) != len(self._planned_paces):
-            return False
-        return any(
-            _differs(_pace_of(report), pace)
-            for report, pace in zip(reports, self._planned_paces, strict=True)
-        )
+    def is_due(
+        self,
+        interval_ms: float,
+        reports: Sequence[_group_map.RankReport],
+    ) -> bool:
+        """Tells whether the interval has passed or a pace has changed."""
+        passed_ms = self._clock.now_ms() - self._planned_ms
+        return passed_ms >= interval_ms or self._is_pace_new(reports)
 
     async def plan(
         self,
@@ -47,6 +59,7 @@
             reports: Recent reports of all ranks.
             bounds: Bounds of the switch.
         """
+        self._planned_ms = self._clock.now_ms()
         self._planned_paces = [_pace_of(report) for report in reports]
         if not _has_shape(tokens, layout):
             return None
@@ -58,6 +71,31 @@
                 began_s = time.perf_counter()
         return planner.plan()
 
+    def _is_pace_new(self, reports: Sequence[_group_map.RankReport]) -> bool:
+        """Tells whether a rank's pace has changed since the last plan."""
+        if len(reports) != len(self._planned_paces):
+            return False
+        return any(
+            _differs(_pace_of(report), pace)
+            for report, pace in zip(reports, self._planned_paces, strict=True)
+        )
+
+
+def scale_to_load(
+    bounds: _plan.PlanBounds,
+    reports: Sequence[_group_map.RankReport],
+    slots: int,
+) -> _plan.PlanBounds:
+    """Returns the bounds for the load of a group.
+
+    With less load passes are shorter, and the time that a map gains is worth
+    less.
+    """
+    running = sum(report.running for report in reports)
+    share = running / max(1, slots * len(reports))
+    factor = min(1.0, share / _LOW_LOAD_SHARE)
+    return msgspec.structs.replace(bounds, valid_ms=bounds.valid_ms * factor)
+
 
 def _pace_of(report: _group_map.RankReport) -> float:
     return max(report.pace, 0.01)
--- a/src/carobslip/expertmap/_rank_updates.py
+++ b/src/carobslip/expertmap/_rank_updates.py
@@ -72,6 +72,12 @@
             for _rank, latest in sorted(self.by_rank.items())
         ]
 
+    def missing_ranks(self) -> list[int]:
+        """Returns the ranks that have never reported."""
+        reports = [latest.update.report for latest in self.by_rank.values()]
+        size = max((report.size for report in reports), default=0)
+        return [rank for rank in range(size) if rank not in self.by_rank]
+
     def is_fresh(self, rank: int, oldest_ms: float) -> bool:
         """Tells whether the last update of a rank is recent."""
         latest = self.by_rank.get(rank)
