--- a/benchmarks/expert_maps.py
+++ b/benchmarks/expert_maps.py
@@ -18,6 +18,8 @@
 ZIPF_EXPONENT = 0.8
 #: Selections that the counting ranks report per set and second.
 SELECTIONS_PER_S = 40_000
+#: Part of older counts that is kept for a period.
+DECAY = 0.3
 EXPERT_SHARE = 0.85
 COPY_SLOWDOWN = 0.15
 #: Length of a pass of balanced ranks.
@@ -188,6 +190,34 @@
     plan_ms_max: float = 0
 
 
+def bounds_of(size):
+    """Returns the settings that a contended service uses."""
+    return expertmap.plan_settings(
+        size=size.ranks,
+        places_per_rank=size.places,
+        expert_copy_ms=size.copy_ms,
+        new_experts_max=2,
+    )
+
+
+def reachable_skew(size, shares, switches=6):
+    """Returns the mean skew that the planner reaches without any bounds."""
+    bounds = expertmap.PlanBounds(
+        places_per_rank=size.places,
+        new_experts_max=size.places,
+        copies_per_rank=size.places * size.sets,
+        group_copies_max=size.places * size.sets * size.ranks,
+        expert_copy_ms=0,
+        valid_ms=1e6,
+    )
+    layout, paces = initial_layout(size), [1.0] * size.ranks
+    for _switch in range(switches):
+        plan = plan_now(layout, shares, paces, size, bounds)
+        layout = plan[0] if plan else layout
+    found = skews(layout, shares, paces)
+    return sum(found) / len(found)
+
+
 def run(
     size,
     planner,
@@ -195,7 +225,7 @@
     interval_ms,
     decay,
     bounds=None,
-    seconds=16,
+    seconds=24,
     slow=None,
     moved_share=1.0,
     seed=3,
@@ -212,6 +242,7 @@
     report_due, planned_at, shift_due = 0.0, -1e9, size.shift_ms
     known_paces = paces
     outcome, ticks = Outcome(), 0
+    state, length, skew = None, 0.0, 0.0
     for now in range(0, seconds * 1000, TICK_MS):
         if now >= shift_due:
             popularity.shift()
@@ -254,12 +285,51 @@
         if now < WARM_UP_MS:
             continue
         ticks += 1
-        length = pass_ms(layout, popularity.by_set, paces)
-        if now < copying_until:
-            length *= 1 + COPY_SLOWDOWN
-        found = skews(layout, popularity.by_set, paces)
-        outcome.pass_ms += length
-        outcome.skew += sum(found) / len(found)
+        if state != (layout, shift_due, paces):
+            state = (layout, shift_due, paces)
+            length = pass_ms(layout, popularity.by_set, paces)
+            found = skews(layout, popularity.by_set, paces)
+            skew = sum(found) / len(found)
+        slowdown = 1 + COPY_SLOWDOWN * (now < copying_until)
+        outcome.pass_ms += length * slowdown
+        outcome.skew += skew
     outcome.pass_ms /= ticks
     outcome.skew /= ticks
     return outcome
+
+
+def main():
+    """Prints a table of skews and passes, before and now."""
+    print('ranks  best  moved  skew before/now  pass before/now  copies  plan')
+    for ranks, size in SIZES.items():
+        shares = Popularity(size, random.Random(1)).by_set
+        best = reachable_skew(size, shares)
+        settings = bounds_of(size)
+        times = expertmap.group_times(ranks)
+        for moved_share in (0.15, 1.0):
+            before = run(
+                size,
+                plan_before,
+                interval_ms=times.switch_interval_ms,
+                decay=DECAY,
+                moved_share=moved_share,
+            )
+            now = run(
+                size,
+                plan_now,
+                interval_ms=settings.interval_ms,
+                decay=DECAY,
+                bounds=settings.bounds,
+                moved_share=moved_share,
+            )
+            copies = round(now.copies / max(1, now.switches))
+            print(
+                f'{ranks:5} {best:5.2f} {moved_share:6} '
+                f'{before.skew:10.2f} {now.skew:5.2f} '
+                f'{before.pass_ms:10.1f} {now.pass_ms:5.1f} '
+                f'{copies:6} {now.plan_ms:5.0f}'
+            )
+
+
+if __name__ == '__main__':
+    main()
--- a/src/carobslip/expertmap/_plan.py
+++ b/src/carobslip/expertmap/_plan.py
@@ -93,11 +93,16 @@
         self._expert_copy_ms = expert_copy_ms
         self._copies = 0
 
+    @property
+    def copying_ms(self) -> float:
+        """Time until the last rank has copied; ranks copy side by side."""
+        return max(self._by_rank) * self._expert_copy_ms
+
     @property
     def total_ms(self) -> float:
-        """Ranks copy at the same time; the longest copy ends last."""
-        copying_ms = max(self._by_rank) * self._expert_copy_ms
-        return copying_ms * _COPY_SLOWDOWN + self._copies * _COPY_PRICE_MS
+        """Time by which passes take longer, and the price of all copies."""
+        slower_ms = self.copying_ms * _COPY_SLOWDOWN
+        return slower_ms + self._copies * _COPY_PRICE_MS
 
     def add(self, change: _set_loads.Change) -> None:
         """Adds the copies of a change."""
@@ -203,7 +208,8 @@
             highest[step.number] = step.highest
             costs.add(step.change)
             gained = 1 - self._pass_length(highest) / length_before
-            gained_ms = gained * self._bounds.valid_ms - costs.total_ms
+            used_ms = max(0.0, self._bounds.valid_ms - costs.copying_ms)
+            gained_ms = gained * used_ms - costs.total_ms
             if gained_ms > best_ms:
                 best_ms, best_count = gained_ms, count
         return self._steps[:best_count]
--- a/src/carobslip/expertmap/_plan_settings.py
+++ b/src/carobslip/expertmap/_plan_settings.py
@@ -4,13 +4,16 @@
 
 import msgspec
 
-from carobslip.expertmap import _plan
+from carobslip.expertmap import _group_times, _plan
 
-#: Shortest time between the starts of two switches. Maps that follow the load
-#: more closely cost more in longer passes, as copies run all the time.
-_INTERVAL_MS: Final = 580.0
+#: Longest interval between two plans that is a multiple of the report period,
+#: if the period allows. Small groups plan as often as without contention. A shorter one plans from counts that mostly precede a
+#: shift of popularity, and copies run all the time.
+_INTERVAL_MAX_MS: Final = 800.0
+#: Part of a report period by which a plan may be early, as periods vary.
+_EARLY_PERIODS: Final = 0.25
 #: Time for the copies of one switch at a rank.
-_COPIES_MS: Final = 75.0
+_COPIES_MS: Final = 110.0
 #: Copies of one switch in a whole group. A coordinator tells every rank all of
 #: them, and this many keep its messages below a quarter of a link of 4 Mbit/s.
 _GROUP_COPIES_MAX: Final = 200
@@ -18,8 +21,8 @@
 #: effect about a second after a shift. On average it then suits the load for
 #: half of the rest.
 _VALID_MS: Final = 1500.0
-#: Ranks of which a group of _GROUP_COPIES_MAX copies may consist. The bytes of
-#: a switch grow with the copies and with the ranks that are told.
+#: Ranks of a group that may use all of _GROUP_COPIES_MAX. The bytes of a switch
+#: grow with the copies and with the ranks that are told.
 _FULL_COPIES_RANKS: Final = 72
 
 
@@ -27,7 +30,7 @@
     """How often and within which bounds maps are planned.
 
     Attributes:
-        interval_ms: Shortest time between the starts of two switches.
+        interval_ms: Shortest time between two plans.
         bounds: Bounds of one switch.
     """
 
@@ -51,10 +54,14 @@
         new_experts_max: New experts of a set that one order may add to a rank;
             0 if unknown.
     """
+    times = _group_times.group_times(size)
+    period_ms = times.report_period_ms
+    interval_ms = min(times.switch_interval_ms, _INTERVAL_MAX_MS)
+    periods = max(1, int(interval_ms / period_ms + _EARLY_PERIODS))
     in_time = max(1, int(_COPIES_MS / max(1.0, expert_copy_ms)))
     told = int(_GROUP_COPIES_MAX * min(1.0, _FULL_COPIES_RANKS / size))
     return PlanSettings(
-        interval_ms=_INTERVAL_MS,
+        interval_ms=(periods - _EARLY_PERIODS) * period_ms,
         bounds=_plan.PlanBounds(
             places_per_rank=places_per_rank,
             new_experts_max=max(1, new_experts_max),
--- /dev/null
+++ b/tests/test_contended_groups.py
@@ -0,0 +1,351 @@
+"""Tests switches of groups whose service is contended."""
+
+import asyncio
+import itertools
+import random
+
+import msgspec
+import pytest
+
+from carobslip import clocks, expertmap, identifiers, observability, processes
+from tests import test_group_traffic as traffic
+from tests.fakes import cluster, engine_group, virtual
+from tests.fakes import host as hosts
+
+SIZE = 12
+EXPERTS = 24
+PERIOD_S = 0.1
+ROUTES = [
+    {
+        'name': f'priority-{priority}',
+        'host': 'drafting.example',
+        'prefix': f'/{priority}/',
+        'kind': 'stream',
+        'services': [{'service': 'drafting', 'weight': 1}],
+        'timeout_ms': 9000,
+        'objective_ms': 400,
+        'priority': priority,
+    }
+    for priority in range(2)
+]
+
+
+class SlowOrders(engine_group.FakeRanks):
+    """Orders to arm a rank take a while."""
+
+    arm_s = 0.0
+
+    async def order(self, rank, order, *, through=None):
+        if order.kind is expertmap.OrderKind.ARM:
+            await asyncio.sleep(self.arm_s)
+        return await super().order(rank, order, through=through)
+
+
+class Control(engine_group.FakeControl):
+    """An engine that begins with two experts and tells those of its map."""
+
+    async def experts(self):
+        layout = self._engine.map[1]
+        rank = self._engine.rank
+        if layout is None:
+            return ((rank, rank + SIZE),)
+        return tuple(ranks[rank] for ranks in layout)
+
+
+class SimulatedGroup:
+    """A group, its guards and the coordinator at rank 0."""
+
+    def __init__(self, *, is_contended, seed=1, arm_s=0.0):
+        self.clock = clocks.LoopClock(epoch_ms=cluster.EPOCH_MS)
+        self.group = engine_group.FakeGroup(SIZE, seed=seed)
+        guards = [
+            expertmap.RankGuard(
+                engine=Control(self.group, rank, is_remote=False)
+            )
+            for rank in range(SIZE)
+        ]
+        self.ranks = SlowOrders(self.group, 0, guards, set())
+        self.ranks.arm_s = arm_s
+        self.log = cluster.RecordingLog()
+        self.random = random.Random(seed)
+        self.paces = [1.0] * SIZE
+        self.coordinator = expertmap.GroupCoordinator(
+            group=engine_group.GROUP,
+            size=SIZE,
+            own_rank=0,
+            ranks=self.ranks,
+            clock=self.clock,
+            log=self.log,
+        )
+        planning = expertmap.plan_settings(
+            size=SIZE, places_per_rank=4, expert_copy_ms=1, new_experts_max=2
+        )
+        self.bounds = expertmap.BalanceBounds(places_per_rank=4)
+        self.coordinator.settings = expertmap.GroupCoordinatorSettings(
+            sets=1,
+            experts=EXPERTS,
+            slots=5,
+            bounds=self.bounds,
+            planning=planning if is_contended else None,
+        )
+        self.sequence = 0
+        self.popular = 0
+        self.passes = asyncio.ensure_future(self.group.run())
+
+    async def run(self, duration_s, *, shift_s=1.0):
+        """Runs periods; the popularity of experts shifts every ``shift_s``."""
+        for _period in range(round(duration_s / PERIOD_S)):
+            self.sequence += 1
+            now_s = self.sequence * PERIOD_S
+            counts = [200] * EXPERTS
+            for place in range(4):
+                counts[(int(now_s / shift_s) * 5 + place) % EXPERTS] = 4000
+            for rank, engine in enumerate(self.group.engines):
+                report = msgspec.structs.replace(
+                    engine.report_now(), pace=self.paces[rank], running=5
+                )
+                self.coordinator.record_update(
+                    expertmap.RankUpdate(
+                        report=report,
+                        sequence=self.sequence,
+                        counts=expertmap.CountsWriter().write(counts),
+                        address=f'engine-{rank}',
+                    )
+                )
+            self.coordinator.probe_and_rebalance()
+            await asyncio.sleep(PERIOD_S)
+            if self.passes.done():
+                self.passes.result()
+
+    async def close(self):
+        await self.coordinator.close()
+        self.passes.cancel()
+        for late in self.group.late:
+            late.cancel()
+
+    def switches(self):
+        return [
+            fields
+            for event, fields in self.log.events
+            if event is observability.Event.MAP_SWITCHED
+        ]
+
+
+@pytest.mark.parametrize('arm_s', [0.0, 0.06, 0.15])
+def test_no_pass_waits_for_a_hold_when_arming_takes_long(arm_s):
+    async def scenario():
+        held_s = []
+        for is_contended in (False, True):
+            simulation = SimulatedGroup(is_contended=is_contended, arm_s=arm_s)
+            await simulation.run(5)
+            held_before_s = simulation.group.held_s
+            await simulation.run(10)
+            held_s.append(simulation.group.held_s - held_before_s)
+            assert len(simulation.switches()) > 5
+            await simulation.close()
+        assert held_s[1] == 0
+        assert held_s[0] > 0 or arm_s < 0.06
+
+    virtual.run(scenario)
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_lost_orders_do_not_split_a_contended_group(seed):
+    async def scenario():
+        simulation = SimulatedGroup(
+            is_contended=True, seed=seed, arm_s=seed % 4 * 0.04
+        )
+        await simulation.run(2)
+        simulation.group.lost_share = 0.05
+        await simulation.run(8)
+        simulation.group.lost_share = 0.0
+        await simulation.run(15)
+        # A split raises in the passes of the group.
+        assert all(one.held is None for one in simulation.group.engines)
+        assert simulation.switches()
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
+def test_new_pace_does_not_wait_for_the_interval_between_switches():
+    async def scenario():
+        simulation = SimulatedGroup(is_contended=True)
+        delays_s = []
+        for number in range(8):
+            await simulation.run(3 + number * PERIOD_S, shift_s=1000)
+            slow = 1 + number
+            before = len(simulation.switches())
+            simulation.paces[slow] = 3.45
+            await simulation.run(1, shift_s=1000)
+            began_s = simulation.clock.now_ms() / 1000 - 1
+            first = simulation.switches()[before]
+            delays_s.append((first, began_s))
+            assert first['dropped'] > 0
+            # Two periods and a switch, whose pass is some passes ahead.
+            waited = [
+                fields['took_ms'] for fields in simulation.switches()[before:]
+            ]
+            assert waited[0] < 1000 - 2 * 1000 * PERIOD_S
+            simulation.paces[slow] = 1.0
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
+def test_uncontended_group_is_planned_as_before():
+    async def scenario():
+        simulation = SimulatedGroup(is_contended=False)
+        proposed = []
+        original = expertmap.balance
+        await simulation.run(1)
+        layout = simulation.coordinator._layout
+        tokens = simulation.coordinator._demand.tokens
+        plan = original(layout, tokens, simulation.bounds, [1.0] * SIZE)
+        proposed.append(plan)
+        await simulation.run(9)
+        switches = simulation.switches()
+        margins = {fields['margin'] for fields in switches}
+        assert margins == {2}
+        assert all(fields['copies'] <= SIZE for fields in switches)
+        assert not any('dropped' in fields for fields in switches)
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
+class ContendedSheet(traffic.Sheet, frozen=True, kw_only=True):
+    """A deployment whose streams differ in priority."""
+
+    expert_copy_ms: float
+
+    @property
+    def document(self):
+        document = super().document
+        table = document['forwarding']
+        table['routes'] = ROUTES
+        table['services'][0]['engine']['expert_copy_ms'] = self.expert_copy_ms
+        return document
+
+
+SHEETS = {
+    32: ContendedSheet(
+        ranks=32,
+        entries=38,
+        sets=12,
+        experts=128,
+        places=5,
+        new_experts_max=2,
+        link_bytes_per_s=500_000,
+        expert_copy_ms=36.5,
+    ),
+    72: ContendedSheet(
+        ranks=72,
+        entries=17,
+        sets=12,
+        experts=144,
+        places=3,
+        new_experts_max=2,
+        link_bytes_per_s=500_000,
+        expert_copy_ms=5.8,
+    ),
+}
+
+
+@pytest.mark.parametrize('ranks', SHEETS)
+@hosts.virtual
+async def test_switches_of_a_contended_group_do_not_fill_half_of_a_link(ranks):
+    sheet = SHEETS[ranks]
+    simulation = traffic.SimulatedFleet(sheet)
+    await simulation.start()
+    await asyncio.sleep(12)
+    carried, version = simulation.carried_bytes(), simulation.map_version
+    held_s = simulation.group.held_s
+    await asyncio.sleep(8)
+    bytes_per_s = (simulation.carried_bytes() - carried) / 8
+    assert simulation.map_version - version >= 8
+    assert bytes_per_s < 0.45 * sheet.link_bytes_per_s
+    assert simulation.group.held_s == held_s
+
+
+@pytest.mark.parametrize('is_contended', [False, True])
+@hosts.virtual
+async def test_only_contended_services_get_the_planner_for_contention(
+    is_contended,
+):
+    sheet = SHEETS[32] if is_contended else traffic.GROWN
+    simulation = traffic.SimulatedFleet(sheet)
+    await simulation.start()
+    await asyncio.sleep(2)
+    guard = simulation.guards[0]
+    settings = guard._group_coordinator_settings(sheet.ranks)
+    assert (settings.planning is not None) is is_contended
+    assert guard._peers.sends_compact is is_contended
+    assert settings.bounds.copies_per_rank == (2 if is_contended else 2)
+
+
+class FormerReader:
+    """Reads layouts like the version before compact deltas."""
+
+    def __init__(self):
+        self._reader = expertmap.LayoutReader()
+
+    def read(self, packed):
+        if packed.content[:1] == b'\x01':
+            return None
+        return self._reader.read(packed)
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_readers_of_both_versions_get_the_same_layouts(seed):
+    generator = random.Random(seed)
+    writer = expertmap.LayoutWriter()
+    readers = [
+        (expertmap.LayoutReader(), True),
+        (expertmap.LayoutReader(), False),
+        (FormerReader(), False),
+        # Answers of an instance that was replaced by a former version.
+        (FormerReader(), True),
+    ]
+    experts = list(range(40))
+    layout = (tuple(tuple(experts[rank::8]) for rank in range(8)),) * 3
+    compact = 0
+    for _switch in range(20):
+        sets = [[set(one) for one in ranks] for ranks in layout]
+        for _change in range(generator.randrange(6)):
+            chosen = generator.choice(generator.choice(sets))
+            chosen ^= {generator.choice(experts), generator.choice(experts)}
+        layout = tuple(
+            tuple(tuple(sorted(one)) for one in ranks) for ranks in sets
+        )
+        for (reader, is_compact), _number in zip(
+            readers, itertools.count(), strict=False
+        ):
+            packed = writer.write(layout, is_compact=is_compact)
+            compact += packed.content[:1] == b'\x01'
+            read = reader.read(packed)
+            if read is None:
+                read = reader.read(writer.write(layout, is_whole=True))
+            assert read == layout
+    assert compact
+
+
+@pytest.mark.parametrize('content', [b'\x01', b'\x01none', b'\x01' + bytes(50)])
+def test_malformed_compact_delta_is_rejected(content):
+    writer, reader = expertmap.LayoutWriter(), expertmap.LayoutReader()
+    whole = writer.write((((0, 1), (2,)),))
+    assert reader.read(whole) is not None
+    packed = expertmap.PackedLayout(
+        digest=1, base=whole.digest, content=content
+    )
+    assert reader.read(packed) is None
+
+
+def test_answer_of_a_former_guard_is_not_taken_for_one_that_reads_compact():
+    former = [
+        'RankOrdered',
+        msgspec.to_builtins(expertmap.RankAnswer(end=expertmap.OrderEnd.DONE)),
+    ]
+    answer = msgspec.convert(former, traffic.control.RankOrdered)
+    assert not answer.reads_compact
+    assert processes and identifiers
