--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -241,10 +241,10 @@
             layout = self._layout
             if layout is None or len(reports) != size:
                 return
-            if not self._load_planner.is_due(planning.interval_ms, reports):
-                return
             if self._demand.total < _SELECTIONS_MIN:
                 return
+            if not self._load_planner.claim(planning.interval_ms, reports):
+                return
             plan = await self._load_planner.plan(
                 layout,
                 self._demand.tokens,
--- a/src/carobslip/expertmap/_load_planning.py
+++ b/src/carobslip/expertmap/_load_planning.py
@@ -19,6 +19,12 @@
 #: A rank whose pace has changed by this factor since the last plan needs
 #: another one at once.
 _NEW_PACE_RATIO: Final = 1.25
+#: Plans that may come early in a row. Ranks that become slow together report it
+#: one after the other within a report period.
+_EARLY_PLANS_MAX: Final = 2.0
+#: Intervals in which one more early plan is allowed, so that paces that vary
+#: all the time do not fill the link of the coordinator.
+_EARLY_INTERVALS: Final = 2.0
 #: Below this share of its slots in use a group has short passes under any map.
 _LOW_LOAD_SHARE: Final = 0.5
 
@@ -33,16 +39,27 @@
     def __init__(self, *, clock: clocks.Clock) -> None:
         self._clock = clock
         self._planned_ms = -math.inf
+        self._claimed_ms = clock.now_ms()
+        self._early_left = _EARLY_PLANS_MAX
         self._planned_paces: list[float] = []
 
-    def is_due(
+    def claim(
         self,
         interval_ms: float,
         reports: Sequence[_group_map.RankReport],
     ) -> bool:
-        """Tells whether the interval has passed or a pace has changed."""
-        passed_ms = self._clock.now_ms() - self._planned_ms
-        return passed_ms >= interval_ms or self._is_pace_new(reports)
+        """Tells whether a plan is due, and counts it if it comes early."""
+        now_ms = self._clock.now_ms()
+        passed_ms = now_ms - self._planned_ms
+        refill = (now_ms - self._claimed_ms) / (_EARLY_INTERVALS * interval_ms)
+        self._early_left = min(_EARLY_PLANS_MAX, self._early_left + refill)
+        self._claimed_ms = now_ms
+        if passed_ms >= interval_ms:
+            return True
+        if self._early_left < 1 or not self._is_pace_new(reports):
+            return False
+        self._early_left -= 1
+        return True
 
     async def plan(
         self,
