--- a/src/carobslip/expertmap/_plan_settings.py
+++ b/src/carobslip/expertmap/_plan_settings.py
@@ -37,6 +37,16 @@
     interval_ms: float
     bounds: _plan.PlanBounds
 
+    @property
+    def guard_copy_ms(self) -> float:
+        """Time of a copy from which guards derive how long they wait.
+
+        They wait for a multiple of it that suits one or two copies of a switch.
+        Half the time of all copies of a rank is enough for twice that time.
+        """
+        copies_ms = self.bounds.copies_per_rank * self.bounds.expert_copy_ms
+        return max(self.bounds.expert_copy_ms, copies_ms / 2)
+
 
 def plan_settings(
     *,
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -257,7 +257,12 @@
         self._periods += 1
         figures = self._engine_figures()
         if figures is not None:
-            self.rank_guard.expert_copy_ms = figures.expert_copy_ms
+            planning = self._plan_settings(figures, report.size)
+            self.rank_guard.expert_copy_ms = (
+                figures.expert_copy_ms
+                if planning is None
+                else planning.guard_copy_ms
+            )
         self._renew_record(report.group, report.rank)
         update = expertmap.RankUpdate(
             report=report,
@@ -397,15 +402,6 @@
         engine = self._engine_figures()
         if engine is None or not engine.expert_sets:
             return None
-        table = self._member.holder.configuration.forwarding
-        planning: expertmap.PlanSettings | None = None
-        if self._own.service in table.contended_services:
-            planning = expertmap.plan_settings(
-                size=size,
-                places_per_rank=engine.places_per_rank,
-                expert_copy_ms=engine.expert_copy_ms,
-                new_experts_max=engine.new_experts_max,
-            )
         return expertmap.GroupCoordinatorSettings(
             sets=engine.expert_sets,
             experts=engine.experts_per_set,
@@ -418,7 +414,23 @@
                     new_experts_max=engine.new_experts_max,
                 ),
             ),
-            planning=planning,
+            planning=self._plan_settings(engine, size),
+        )
+
+    def _plan_settings(
+        self,
+        engine: configuration.EngineFigures,
+        size: int,
+    ) -> expertmap.PlanSettings | None:
+        """Returns how maps are planned; None if the service lacks contention."""
+        table = self._member.holder.configuration.forwarding
+        if self._own.service not in table.contended_services:
+            return None
+        return expertmap.plan_settings(
+            size=size,
+            places_per_rank=engine.places_per_rank,
+            expert_copy_ms=engine.expert_copy_ms,
+            new_experts_max=engine.new_experts_max,
         )
 
     def _engine_figures(self) -> configuration.EngineFigures | None:
--- a/tests/test_contended_groups.py
+++ b/tests/test_contended_groups.py
@@ -302,6 +302,51 @@
     settings = guard._group_coordinator_settings(sheet.ranks)
     assert (settings.planning is not None) is is_contended
     assert guard._peers.sends_compact is is_contended
+    usual_ms = sheet.expert_copy_ms if is_contended else 20
+    assert (guard.rank_guard.expert_copy_ms > usual_ms) is is_contended
+
+
+class SlowCopies(engine_group.FakeControl):
+    """An engine that copies for a while before a map is prepared."""
+
+    copying_s = 0.0
+
+    async def order(self, order):
+        self.ready_s = asyncio.get_running_loop().time() + self.copying_s
+        return await super().order(order)
+
+    async def report(self):
+        report = await super().report()
+        if asyncio.get_running_loop().time() < self.ready_s:
+            return msgspec.structs.replace(report, prepared=None)
+        return report
+
+
+@pytest.mark.parametrize('ranks', SHEETS)
+def test_guard_waits_for_all_copies_of_a_switch(ranks):
+    async def scenario():
+        sheet = SHEETS[ranks]
+        planning = expertmap.plan_settings(
+            size=ranks,
+            places_per_rank=sheet.places,
+            expert_copy_ms=sheet.expert_copy_ms,
+            new_experts_max=sheet.new_experts_max,
+        )
+        group = engine_group.FakeGroup(SIZE, seed=1)
+        engine = SlowCopies(group, 2, is_remote=False)
+        copies = planning.bounds.copies_per_rank
+        assert copies > 2
+        engine.copying_s = 1.5 * copies * sheet.expert_copy_ms / 1000
+        guard = expertmap.RankGuard(engine=engine)
+        guard.expert_copy_ms = planning.guard_copy_ms
+        answer = await guard.order(
+            expertmap.RankOrder(
+                kind=expertmap.OrderKind.PREPARE, epoch=1, fence=1, version=1024
+            )
+        )
+        assert answer.report.prepared == 1024
+
+    virtual.run(scenario)
 
 
 class FormerReader:
