--- a/src/carobslip/expertmap/_load_planning.py
+++ b/src/carobslip/expertmap/_load_planning.py
@@ -86,6 +86,8 @@
             if time.perf_counter() - began_s >= _SLICE_S:
                 await asyncio.sleep(_PAUSE_S)
                 began_s = time.perf_counter()
+        # The final comparison takes several milliseconds in large groups.
+        await asyncio.sleep(_PAUSE_S)
         return planner.plan()
 
     def _is_pace_new(self, reports: Sequence[_group_map.RankReport]) -> bool:
--- a/src/carobslip/expertmap/_plan.py
+++ b/src/carobslip/expertmap/_plan.py
@@ -344,8 +344,9 @@
     lost = 0
     for old_ranks, new_ranks in zip(before, after, strict=True):
         for old, new in zip(old_ranks, new_ranks, strict=True):
-            gained += len(set(new) - set(old))
-            lost += len(set(old) - set(new))
+            if old != new:
+                gained += len(set(new) - set(old))
+                lost += len(set(old) - set(new))
     return gained, lost
 
 
