--- a/src/carobslip/expertmap/__init__.py
+++ b/src/carobslip/expertmap/__init__.py
@@ -12,12 +12,9 @@
     RankUnreachable,
     SwitchEnd,
 )
+from carobslip.expertmap._coordinator_settings import GroupCoordinatorSettings
 from carobslip.expertmap._count_codec import CountsWriter, read_counts
-from carobslip.expertmap._group_coordinator import (
-    GroupCoordinator,
-    GroupCoordinatorSettings,
-    RankUpdate,
-)
+from carobslip.expertmap._group_coordinator import GroupCoordinator
 from carobslip.expertmap._group_map import (
     ArmedMap,
     Layout,
@@ -30,6 +27,7 @@
     LayoutWriter,
     PackedLayout,
 )
+from carobslip.expertmap._load_planning import LoadPlanner
 from carobslip.expertmap._map import ExpertMap, MapVersion
 from carobslip.expertmap._orders import (
     EngineControl,
@@ -52,6 +50,8 @@
     rebuild_from_scratch,
     step_time,
 )
+from carobslip.expertmap._plan import MapPlan, MapPlanner, PlanBounds
+from carobslip.expertmap._plan_settings import PlanSettings, plan_settings
 from carobslip.expertmap._rank import (
     Decision,
     Order,
@@ -62,6 +62,8 @@
     RankSwitch,
 )
 from carobslip.expertmap._rank_guard import RankGuard, send_order
+from carobslip.expertmap._rank_updates import RankUpdate
+from carobslip.expertmap._step_margin import StepMargin
 from carobslip.expertmap._switch import GroupSwitch, SwitchResult
 
 __all__ = [
@@ -84,6 +86,9 @@
     'Layout',
     'LayoutReader',
     'LayoutWriter',
+    'LoadPlanner',
+    'MapPlan',
+    'MapPlanner',
     'MapVersion',
     'Order',
     'OrderEnd',
@@ -92,6 +97,8 @@
     'Phase',
     'Placement',
     'PlacementSettings',
+    'PlanBounds',
+    'PlanSettings',
     'Promise',
     'RankAnswer',
     'RankEngine',
@@ -103,6 +110,7 @@
     'RankUnreachable',
     'RankUpdate',
     'Ranks',
+    'StepMargin',
     'SwitchEnd',
     'SwitchResult',
     'balance',
@@ -112,6 +120,7 @@
     'join_ranks',
     'moved_replicas',
     'place_experts',
+    'plan_settings',
     'rank_times',
     'read_counts',
     'rebuild_from_scratch',
--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -1,25 +1,30 @@
 """Coordinates one group: tracks its load and rebalances its layout."""
 
 import asyncio
-from collections.abc import Sequence
-from typing import Annotated, Final
-
-import msgspec
+from typing import Final
 
 from carobslip import clocks, identifiers, observability, tasks
 from carobslip.expertmap import (
     _balance,
+    _balance_planning,
     _coordinator_numbers,
+    _coordinator_settings,
     _count_codec,
+    _expert_demand,
     _group_map,
     _group_times,
+    _layout_fetch,
+    _load_planning,
     _orders,
+    _plan,
+    _plan_settings,
+    _rank_probes,
+    _rank_updates,
+    _step_margin,
     _switch,
+    _switch_fields,
 )
 
-#: It counts as broken sooner if this many probes in a row of the rank's engine
-#: failed: then its machine is gone or hangs, not only its guard.
-_FAILED_PROBES_MAX: Final = 2
 #: A group counts as broken when a hold or a partly armed map is this old: it
 #: cannot be ended at present.
 _STUCK_AFTER_MS: Final = 600.0
@@ -28,63 +33,10 @@
 _RECOVER_AFTER_MS: Final = 200.0
 #: A report that arrives this long after a switch was made after it.
 _REPORT_TRANSIT_MS: Final = 100.0
-#: Requests for the experts of a rank; a lost answer concerns that rank alone.
-_LAYOUT_ATTEMPTS: Final = 3
-#: Decay factor of older selection counts per period; the popularity of experts
-#: shifts every few seconds.
-_DECAY_FACTOR: Final = 0.3
 #: Decayed sum of selections below which no new layout is planned.
 _SELECTIONS_MIN: Final = 500.0
-#: Below this share of its slots in use a group has low load. Passes are then
-#: short under any layout, and copies pay off only if they lower the load of the
-#: most loaded rank by a twentieth. The imbalance, a sum of eighth powers, then
-#: falls by three tenths.
-_LOW_LOAD_SHARE: Final = 0.5
-_LOW_LOAD_GAIN_MIN: Final = 0.3
-
-
-class RankUpdate(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Update that a guard sends to the coordinator of its engine's group.
-
-    Attributes:
-        report: The engine's report.
-        sequence: Number of this update at its guard; duplicates are dropped.
-        counts: Encoded selection counts by set and expert since the previous
-            update.
-        address: Address at which the engine takes calls.
-    """
-
-    report: _group_map.RankReport
-    sequence: int
-    counts: Annotated[
-        bytes,
-        msgspec.Meta(max_length=_count_codec.COUNTS_MAX),
-    ]
-    address: str
-
-
-class GroupCoordinatorSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Parameters of the group's engines.
-
-    Attributes:
-        sets: Sets of layers with a map each.
-        experts: Experts in a set.
-        slots: Requests that an engine runs at once.
-        bounds: Bounds of new layouts.
-    """
-
-    sets: int
-    experts: int
-    slots: int
-    bounds: _balance.BalanceBounds
-
-
-class _LatestUpdate:
-    """The latest update of a rank and its time of receipt."""
-
-    def __init__(self, update: RankUpdate, now_ms: float) -> None:
-        self.update = update
-        self.received_ms = now_ms
+#: Switches that may follow each other without a pause, as paces change.
+_SWITCHES_IN_A_ROW: Final = 2
 
 
 class GroupCoordinator:
@@ -116,42 +68,52 @@
         engines_fence: bool = False,
     ) -> None:
         self.group = group
-        self.settings: GroupCoordinatorSettings | None = None
+        self.settings: _coordinator_settings.GroupCoordinatorSettings | None = (
+            None
+        )
         self._own_rank = own_rank
         self._ranks = ranks
         self._clock = clock
         self._log = log
         self._supervisor = tasks.Supervisor(log=log)
         self._engines_fence = engines_fence
-        self._latest: dict[int, _LatestUpdate] = {}
-        self._tokens: list[list[float]] = []
-        self._recent_counts: list[float] = []
+        self._updates = _rank_updates.LatestUpdates(clock=clock)
+        self._demand = _expert_demand.ExpertDemand()
+        self._load_planner = _load_planning.LoadPlanner(clock=clock)
         self._layout: _group_map.Layout | None = None
         self._epoch = 0
         self._fence = _coordinator_numbers.first_fence(
             clock.wall_ms(), own_rank
         )
         self._unfinished_since_ms: float | None = None
-        self._step_margin = _switch.STEP_MARGIN_MIN
+        self._margin = _step_margin.StepMargin(size=size)
         self._work: asyncio.Task[None] | None = None
-        self._probes: dict[int, asyncio.Task[None]] = {}
-        self._failed_probes: dict[int, int] = {}
         self._began_ms = clock.now_ms()
         self._switch_began_ms = 0.0
         self._version_used = 0
         self._waiting_for = ''
         self._switch_ended_ms = -_REPORT_TRANSIT_MS
         self._times = _group_times.group_times(size)
+        self._probes = _rank_probes.RankProbes(
+            ranks=ranks,
+            updates=self._updates,
+            clock=clock,
+            times=self._times,
+            own_rank=own_rank,
+            supervisor=self._supervisor,
+        )
 
     @property
     def is_broken(self) -> bool:
         """Whether requests to the group would stall."""
-        if self._has_lost_rank():
+        if self._probes.has_lost_rank():
             return True
         now_ms = self._clock.now_ms()
         if now_ms - self._began_ms < self._times.rank_timeout_ms:
             return False
-        reports = self._reports_since(now_ms - self._times.rank_timeout_ms)
+        reports = self._updates.reports_since(
+            now_ms - self._times.rank_timeout_ms
+        )
         if not reports:
             return False
         since_ms = self._unfinished_since_ms
@@ -175,44 +137,36 @@
         Ranks that have never reported are included while the group is broken,
         as such a rank may be the cause.
         """
-        known = [
-            (
-                latest.update.address,
-                latest.update.report.running,
-                latest.update.report.waiting,
-            )
-            for _rank, latest in sorted(self._latest.items())
-        ]
+        known = self._updates.loads()
         if not self.is_broken:
             return known
-        reports = [latest.update.report for latest in self._latest.values()]
-        size = max((report.size for report in reports), default=0)
-        addresses = [
-            self._ranks.address_of(rank)
-            for rank in range(size)
-            if rank not in self._latest
-        ]
+        addresses = map(self._ranks.address_of, self._updates.missing_ranks())
         return known + [(one, 0, 0) for one in addresses if one is not None]
 
-    def record_update(self, update: RankUpdate) -> None:
+    def record_update(self, update: _rank_updates.RankUpdate) -> None:
         """Records an update of a rank; drops duplicates."""
-        rank = update.report.rank
-        known = self._latest.get(rank)
-        if known is not None:
-            same_address = known.update.address == update.address
-            if same_address and update.sequence == known.update.sequence:
-                return
-        self._store_update(update)
+        if self._updates.is_duplicate(update):
+            return
+        self._updates.store(update)
+        self._probes.note_answer(update.report.rank)
+        if update.report.rank == self._own_rank:
+            self._margin.note_step(update.report.step, self._clock.now_ms())
         if update.counts:
-            self._add_counts(_count_codec.read_counts(update.counts))
+            self._demand.add(_count_codec.read_counts(update.counts))
 
     def probe_and_rebalance(self) -> None:
         """Runs once a period; switches run in a separate task."""
-        self._decay_counts()
-        self._probe_silent_ranks()
+        settings = self.settings
+        if settings is not None:
+            self._demand.decay(sets=settings.sets, experts=settings.experts)
+        reports = self._fresh_reports()
+        self._probes.probe_silent(
+            size=reports[0].size if reports else 0,
+            epoch=self._epoch,
+            fence=self._fence,
+        )
         if self._work is not None and not self._work.done():
             return
-        settings = self.settings
         if settings is None:
             return
         if not self.is_open:
@@ -220,7 +174,7 @@
             self._note_waiting('not all ranks report an open group')
             self._recover_unfinished()
             return
-        report = self._fresh_reports()[0]
+        report = reports[0]
         if report.epoch != self._epoch:
             self._epoch = report.epoch
             self._layout = None
@@ -243,70 +197,10 @@
             self._run_switch(reports[0].size, None, None),
         )
 
-    def _probe_silent_ranks(self) -> None:
-        oldest_ms = self._clock.now_ms() - self._times.probe_after_ms
-        reports = self._fresh_reports()
-        size = reports[0].size if reports else 0
-        self._failed_probes = {
-            rank: count
-            for rank, count in self._failed_probes.items()
-            if rank < size
-        }
-        for rank in range(size):
-            latest = self._latest.get(rank)
-            running_probe = self._probes.get(rank)
-            is_asked = running_probe is not None and not running_probe.done()
-            if is_asked or (
-                latest is not None and latest.received_ms >= oldest_ms
-            ):
-                continue
-            self._probes[rank] = self._supervisor.run_once(
-                self._probe_rank(rank)
-            )
-
-    async def _probe_rank(self, rank: int) -> None:
-        answer = await self._ranks.order(
-            rank,
-            _orders.RankOrder(
-                kind=_orders.OrderKind.REPORT,
-                epoch=self._epoch,
-                fence=self._fence,
-            ),
-            through=self._own_rank,
-        )
-        address = self._ranks.address_of(rank)
-        if answer.report is None or address is None:
-            # Without an address, no request was sent.
-            failures = 0 if address is None else 1
-            self._failed_probes[rank] = (
-                self._failed_probes.get(rank, 0) + failures
-            )
-            return
-        update = RankUpdate(
-            report=answer.report,
-            sequence=0,
-            counts=b'',
-            address=address,
-        )
-        self._store_update(update)
-
-    def _store_update(self, update: RankUpdate) -> None:
-        rank = update.report.rank
-        self._latest[rank] = _LatestUpdate(update, self._clock.now_ms())
-        self._failed_probes.pop(rank, None)
-
-    def _has_lost_rank(self) -> bool:
-        """Tells whether neither guard nor engine of a rank answers."""
-        oldest_ms = self._clock.now_ms() - self._times.report_fresh_ms
-        for rank, count in self._failed_probes.items():
-            latest = self._latest.get(rank)
-            is_fresh = latest is not None and latest.received_ms >= oldest_ms
-            if count >= _FAILED_PROBES_MAX and not is_fresh:
-                return True
-        return False
-
     async def _rebalance(
-        self, settings: GroupCoordinatorSettings, size: int
+        self,
+        settings: _coordinator_settings.GroupCoordinatorSettings,
+        size: int,
     ) -> None:
         layout = self._layout
         if self._has_unfinished_switch():
@@ -315,43 +209,65 @@
         if any(one.held or one.armed for one in self._reports_after_switch()):
             return
         if layout is None:
-            await self._refresh_layout(size)
+            self._layout = await self._fetch_layout(size)
+            return
+        if settings.planning is not None:
+            await self._follow_load(settings, settings.planning, size)
             return
         waited_ms = self._clock.now_ms() - self._switch_began_ms
         if waited_ms < self._times.switch_interval_ms:
             return
-        plan = self._plan(settings, layout)
+        if self._demand.total < _SELECTIONS_MIN:
+            return
+        plan = _balance_planning.plan_layout(
+            layout, self._demand.tokens, self._fresh_reports(), settings
+        )
         if plan is not None:
             await self._run_switch(size, layout, plan)
 
-    def _plan(
+    async def _follow_load(
         self,
-        settings: GroupCoordinatorSettings,
-        layout: _group_map.Layout,
-    ) -> _balance.BalancePlan | None:
-        selections = sum(sum(tokens) for tokens in self._tokens)
-        if selections < _SELECTIONS_MIN or len(self._tokens) != len(layout):
-            return None
-        reports = self._fresh_reports()
-        slowdowns = [report.pace for report in reports]
-        bounds = settings.bounds
-        running = sum(report.running for report in reports)
-        if running < _LOW_LOAD_SHARE * settings.slots * len(reports):
-            bounds = msgspec.structs.replace(
-                bounds, gain_min=_LOW_LOAD_GAIN_MIN
+        settings: _coordinator_settings.GroupCoordinatorSettings,
+        planning: _plan_settings.PlanSettings,
+        size: int,
+    ) -> None:
+        """Plans and switches maps of a contended service.
+
+        A change of pace does not wait for the interval. One that is reported
+        during a switch leads to another plan directly after it.
+        """
+        for _ in range(_SWITCHES_IN_A_ROW):
+            reports = self._fresh_reports()
+            layout = self._layout
+            if layout is None or len(reports) != size:
+                return
+            if self._demand.total < _SELECTIONS_MIN:
+                return
+            if not self._load_planner.claim(planning.interval_ms, reports):
+                return
+            plan = await self._load_planner.plan(
+                layout,
+                self._demand.tokens,
+                reports,
+                _load_planning.scale_to_load(
+                    planning.bounds, reports, settings.slots
+                ),
             )
-        return _balance.balance(layout, self._tokens, bounds, slowdowns)
+            if plan is None:
+                return
+            await self._run_switch(size, layout, plan)
 
     async def _run_switch(
         self,
         size: int,
         layout: _group_map.Layout | None,
-        plan: _balance.BalancePlan | None,
+        plan: _balance.BalancePlan | _plan.MapPlan | None,
     ) -> None:
         if layout is None:
             layout = await self._fetch_layout(size)
         began_ms = self._clock.now_ms()
         self._switch_began_ms = began_ms
+        margin = self._choose_margin()
         switch = _switch.GroupSwitch(
             ranks=self._ranks,
             size=size,
@@ -360,7 +276,7 @@
             fence=self._fence,
             clock=self._clock,
             engines_fence=self._engines_fence,
-            step_margin=self._step_margin,
+            step_margin=margin,
             version_min=self._version_used,
         )
         if plan is None or layout is None:
@@ -373,7 +289,7 @@
             )
         self._version_used = switch.version
         self._switch_ended_ms = self._clock.now_ms()
-        self._adapt_margin(switch.lost_orders)
+        self._margin.note_switch(switch.lost_orders, switch.arming_ms)
         switched = result is _switch.SwitchResult.SWITCHED
         if switched and plan is not None:
             self._layout = plan.layout
@@ -393,84 +309,49 @@
             why=switch.why,
             fence=self._fence,
             knows_layout=layout is not None,
-            copies=0 if plan is None else plan.copies,
             lost_orders=switch.lost_orders,
-            skew_before=0 if plan is None else round(plan.skew_before, 2),
-            skew_after=0 if plan is None else round(plan.skew_after, 2),
+            margin=margin,
+            arming_ms=_switch_fields.rounded(switch.arming_ms),
+            pass_ms=round(self._margin.pass_ms),
+            **_switch_fields.plan_fields(plan, self._margin.pass_ms),
             took_ms=round(self._clock.now_ms() - began_ms),
         )
 
-    def _adapt_margin(self, lost_orders: int) -> None:
-        """Schedules switches further ahead while orders get lost."""
-        if lost_orders:
-            wider = 2 * self._step_margin
-            self._step_margin = min(wider, _switch.STEP_MARGIN_MAX)
-        else:
-            closer = self._step_margin - 1
-            self._step_margin = max(closer, _switch.STEP_MARGIN_MIN)
-
-    async def _refresh_layout(self, size: int) -> None:
-        self._layout = await self._fetch_layout(size)
+    def _choose_margin(self) -> int:
+        settings = self.settings
+        if settings is None or settings.planning is None:
+            return self._margin.by_losses()
+        return self._margin.by_times()
 
     async def _fetch_layout(self, size: int) -> _group_map.Layout | None:
         """Fetches the experts of every rank; raises the fence if needed."""
-        told: dict[int, _orders.RankAnswer] = {}
-        for _ in range(_LAYOUT_ATTEMPTS):
-            order = _orders.RankOrder(
-                kind=_orders.OrderKind.REPORT,
-                epoch=self._epoch,
-                fence=self._fence,
-                with_experts=True,
-            )
-            asked = [rank for rank in range(size) if rank not in told]
-            answers = await asyncio.gather(
-                *(self._ranks.order(rank, order) for rank in asked),
-            )
-            highest = max(answer.fence for answer in answers)
-            if highest > self._fence:
-                self._fence = _coordinator_numbers.raise_fence(
-                    highest, self._own_rank
-                )
-            told.update(
-                (rank, answer)
-                for rank, answer in zip(asked, answers, strict=True)
-                if answer.experts
-            )
-            if len(told) == size:
-                return self._join_layout(told)
-        self._note_waiting(
-            'not all ranks told their experts',
-            without_experts=[rank for rank in range(size) if rank not in told],
+        fetch = _layout_fetch.LayoutFetch(
+            ranks=self._ranks,
+            own_rank=self._own_rank,
+            epoch=self._epoch,
+            fence=self._fence,
         )
-        return None
-
-    def _join_layout(
-        self,
-        told: dict[int, _orders.RankAnswer],
-    ) -> _group_map.Layout | None:
-        answers = [told[rank] for rank in sorted(told)]
-        if not _have_same_map(answers):
-            self._note_waiting('ranks have different maps')
-            return None
-        self._waiting_for = ''
-        return _group_map.join_ranks([answer.experts for answer in answers])
+        layout = await fetch.run(size)
+        self._fence = fetch.fence
+        if layout is not None:
+            self._waiting_for = ''
+        elif fetch.without_experts:
+            self._note_waiting(fetch.why, without_experts=fetch.without_experts)
+        else:
+            self._note_waiting(fetch.why)
+        return layout
 
     def _note_waiting(self, why: str, **inputs: object) -> None:
         """Records why no layout is planned, once for each reason in a row."""
         if why == self._waiting_for:
             return
         self._waiting_for = why
-        now_ms = self._clock.now_ms()
         self._log.write(
             observability.Event.MAP_WAITING,
             group=self.group,
             epoch=self._epoch,
             why=why,
-            silent_ms={
-                rank: round(now_ms - latest.received_ms)
-                for rank, latest in sorted(self._latest.items())
-                if now_ms - latest.received_ms > self._times.probe_after_ms
-            },
+            silent_ms=self._updates.silent_ms(self._times.probe_after_ms),
             **inputs,
         )
 
@@ -500,7 +381,7 @@
 
     def _reports_after_switch(self) -> list[_group_map.RankReport]:
         """Returns fresh reports that were not made during the last switch."""
-        return self._reports_since(
+        return self._updates.reports_since(
             max(
                 self._clock.now_ms() - self._times.report_fresh_ms,
                 self._switch_ended_ms + _REPORT_TRANSIT_MS,
@@ -508,58 +389,6 @@
         )
 
     def _fresh_reports(self) -> list[_group_map.RankReport]:
-        return self._reports_since(
+        return self._updates.reports_since(
             self._clock.now_ms() - self._times.report_fresh_ms,
         )
-
-    def _reports_since(
-        self,
-        oldest_ms: float,
-    ) -> list[_group_map.RankReport]:
-        return [
-            latest.update.report
-            for _rank, latest in sorted(self._latest.items())
-            if latest.received_ms >= oldest_ms
-        ]
-
-    def _add_counts(self, counts: Sequence[int]) -> None:
-        if len(counts) == len(self._recent_counts):
-            self._recent_counts = [
-                known + count
-                for known, count in zip(
-                    self._recent_counts, counts, strict=True
-                )
-            ]
-        elif counts:
-            self._recent_counts = [float(count) for count in counts]
-
-    def _decay_counts(self) -> None:
-        settings = self.settings
-        if settings is None:
-            return
-        width = settings.experts
-        if len(self._recent_counts) != settings.sets * width:
-            return
-        fresh = [
-            self._recent_counts[begin : begin + width]
-            for begin in range(0, len(self._recent_counts), width)
-        ]
-        if len(self._tokens) != len(fresh):
-            self._tokens = [[0.0] * width for _one in fresh]
-        self._tokens = [
-            [
-                _DECAY_FACTOR * old + new
-                for old, new in zip(older, newer, strict=True)
-            ]
-            for older, newer in zip(self._tokens, fresh, strict=True)
-        ]
-        self._recent_counts = [0.0] * len(self._recent_counts)
-
-
-def _have_same_map(answers: Sequence[_orders.RankAnswer]) -> bool:
-    versions = {
-        answer.report.map_version
-        for answer in answers
-        if answer.report is not None
-    }
-    return len(versions) == 1
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -257,7 +257,12 @@
         self._periods += 1
         figures = self._engine_figures()
         if figures is not None:
-            self.rank_guard.expert_copy_ms = figures.expert_copy_ms
+            planning = self._plan_settings(figures, report.size)
+            self.rank_guard.expert_copy_ms = (
+                figures.expert_copy_ms
+                if planning is None
+                else planning.guard_copy_ms
+            )
         self._renew_record(report.group, report.rank)
         update = expertmap.RankUpdate(
             report=report,
@@ -360,8 +365,10 @@
         update: expertmap.RankUpdate,
     ) -> None:
         group_coordinator = self._get_or_create_group_coordinator(report)
-        group_coordinator.settings = self._group_coordinator_settings(
-            report.size,
+        settings = self._group_coordinator_settings(report.size)
+        group_coordinator.settings = settings
+        self._peers.sends_compact = (
+            settings is not None and settings.planning is not None
         )
         group_coordinator.record_update(update)
         group_coordinator.probe_and_rebalance()
@@ -407,6 +414,23 @@
                     new_experts_max=engine.new_experts_max,
                 ),
             ),
+            planning=self._plan_settings(engine, size),
+        )
+
+    def _plan_settings(
+        self,
+        engine: configuration.EngineFigures,
+        size: int,
+    ) -> expertmap.PlanSettings | None:
+        """Returns how maps are planned; None if the service lacks contention."""
+        table = self._member.holder.configuration.forwarding
+        if self._own.service not in table.contended_services:
+            return None
+        return expertmap.plan_settings(
+            size=size,
+            places_per_rank=engine.places_per_rank,
+            expert_copy_ms=engine.expert_copy_ms,
+            new_experts_max=engine.new_experts_max,
         )
 
     def _engine_figures(self) -> configuration.EngineFigures | None:
@@ -467,13 +491,14 @@
                 return control.RankOrdered(
                     answer=expertmap.RankAnswer(end=expertmap.OrderEnd.LOST),
                     lacks_layout=True,
+                    reads_compact=True,
                 )
             order = msgspec.structs.replace(order, layout=layout)
         if request.group is None or request.rank is None:
             answer = await self.rank_guard.order(order)
         else:
             answer = await self._arm_coordinator(request.group, order)
-        return control.RankOrdered(answer=answer)
+        return control.RankOrdered(answer=answer, reads_compact=True)
 
     async def _arm_coordinator(
         self,
