--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -129,6 +129,7 @@
             permits=shared.permits,
             clock=context.clock,
             generator=context.generator,
+            position=fleet.position,
         )
         if shared.slots is None:
             return admission
