--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -16,7 +16,12 @@
 import msgspec
 
 from carobslip import clocks, identifiers, targets
-from carobslip.forwarding import _cold_turns, _loads, _permits, _slot_ports
+from carobslip.forwarding import (
+    _cold_turns,
+    _loads,
+    _permits,
+    _slot_ports,
+)
 
 #: Window over which requests to a cold target are counted; the bound is stated
 #: per second.
@@ -61,9 +66,6 @@
             the load from other entries.
         may_have_run: A target may have run it, so it can no longer be refused
             as not run; it goes before all others.
-        spreads_cold_rate: An entry whose share of ``cold_rps`` is below one
-            request a second sends in turn with the others, rather than one
-            request a second.
         objective_until_ms: When the caller's objective ends.
         patience_until_ms: How long the caller waits for its answer.
         team: The team that owns it.
@@ -72,6 +74,9 @@
         answer_tokens_hint: The caller's estimate of them; 0 if none.
         content_digest: Equal for repeats of the same content by a caller.
         trace: Receives the decisions of brokers.
+        spreads_cold_rate: An entry whose share of ``cold_rps`` is below one
+            request a second sends in turn with the others, rather than one
+            request a second.
     """
 
     service: identifiers.ServiceId
@@ -82,7 +87,6 @@
     cold_rps: float = 0
     share_min: int = 1
     may_have_run: bool = False
-    spreads_cold_rate: bool = False
     objective_until_ms: float = math.inf
     patience_until_ms: float = math.inf
     team: identifiers.TeamId | None = None
@@ -91,6 +95,7 @@
     answer_tokens_hint: int = 0
     content_digest: int = 0
     trace: _slot_ports.SlotTrace | None = None
+    spreads_cold_rate: bool = False
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
