--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -66,6 +66,7 @@
             the load from other entries.
         may_have_run: A target may have run it, so it can no longer be refused
             as not run; it goes before all others.
+        route_priority: Priority of the route, if the team has its own.
         objective_until_ms: When the caller's objective ends.
         patience_until_ms: How long the caller waits for its answer.
         team: The team that owns it.
@@ -87,6 +88,7 @@
     cold_rps: float = 0
     share_min: int = 1
     may_have_run: bool = False
+    route_priority: int = 0
     objective_until_ms: float = math.inf
     patience_until_ms: float = math.inf
     team: identifiers.TeamId | None = None
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -411,6 +411,7 @@
             excluded=pending.excluded,
             cold_rps=self.cold_rps(pending.service),
             share_min=1 if is_stream else _PLAIN_SHARE_MIN,
+            route_priority=pending.route.priority,
             objective_until_ms=arrived_ms + pending.route.objective_ms,
             patience_until_ms=pending.deadline_ms,
             team=None if pending.team is None else pending.team.team,
--- a/src/carobslip/forwarding/_pending_request.py
+++ b/src/carobslip/forwarding/_pending_request.py
@@ -5,8 +5,9 @@
 from carobslip import configuration, hashing, identifiers
 from carobslip.forwarding import _ports, _request, _slot_ports
 
-#: Largest number that stands for a priority in calls of targets.
-_URGENCY_MAX: Final = 9
+#: Priorities of a team, and of a route, that calls of targets tell apart: targets
+#: know urgencies from 0 to 9.
+_PRIORITY_STEPS: Final = 3
 
 
 class PendingRequest:
@@ -71,9 +72,7 @@
         self.resend_pause_ms = 0.0
         self.permits_refused = 0
         self.slot_trace = _slot_ports.SlotTrace()
-        self.urgency = (
-            max(0, min(_URGENCY_MAX, self.priority)) if is_contended else None
-        )
+        self.urgency = self._urgency() if is_contended else None
         self.first_event_ms: float | None = None
         self.last_event: int | None = None
         self.lost_at: set[identifiers.TargetId] = set()
@@ -87,6 +86,12 @@
         own = None if self.team is None else self.team.priority
         return self.route.priority if own is None else own
 
+    def _urgency(self) -> int:
+        """Returns the urgency at the target: by team first, then by route."""
+        first = min(max(0, self.priority), _PRIORITY_STEPS - 1)
+        second = min(max(0, self.route.priority), _PRIORITY_STEPS - 1)
+        return _PRIORITY_STEPS * first + second
+
     @property
     def content_digest(self) -> int:
         """Equal for repeats of the same content by the same team.
--- a/src/carobslip/forwarding/_slot_source.py
+++ b/src/carobslip/forwarding/_slot_source.py
@@ -263,6 +263,7 @@
             entry=self._port.instance,
             data_centre=self._port.data_centre,
             priority=demand.priority,
+            route_priority=demand.route_priority,
             on_time_left_ms=demand.objective_until_ms - now_ms,
             wait_left_ms=demand.wait_until_ms - now_ms,
             patience_left_ms=demand.patience_until_ms - now_ms,
--- a/src/carobslip/slotbroker/_queue.py
+++ b/src/carobslip/slotbroker/_queue.py
@@ -16,7 +16,7 @@
 #: Weight of one request in the average cost.
 _AVERAGE_SHARE: Final = 0.05
 #: Distinct priorities; less urgent ones are treated as equal.
-_PRIORITY_MAX: Final = 15
+_PRIORITY_MAX: Final = 9
 
 #: Band, priority, rank of returning callers, virtual start, arrival.
 Key = tuple[int, int, int, float, int]
@@ -31,7 +31,8 @@
 
     Attributes:
         demand: What it asked for.
-        priority: 0 is the most urgent.
+        priority: Its class by the priorities of team and route; 0 is the most
+            urgent.
         order: Its number in the order of arrival.
         cost: Its expected cost in tokens.
         how_returned: Whether it was refused before and returns as told.
@@ -51,7 +52,7 @@
         how_returned: _returns.Return,
     ) -> None:
         self.demand = demand
-        self.priority = min(max(0, demand.priority), _PRIORITY_MAX)
+        self.priority = _class_of(demand.priority, demand.route_priority)
         self.order = order
         self.cost = cost
         self.how_returned = how_returned
@@ -192,3 +193,10 @@
 
 def _key_of(placed: tuple[Key, Waiter]) -> Key:
     return placed[0]
+
+
+def _class_of(priority: int, route_priority: int) -> int:
+    """Returns the class of a request: by team first, then by route."""
+    first = min(max(0, priority), _PRIORITY_MAX)
+    second = min(max(0, route_priority), _PRIORITY_MAX)
+    return (_PRIORITY_MAX + 1) * first + second
--- a/src/carobslip/slotbroker/_scheduler.py
+++ b/src/carobslip/slotbroker/_scheduler.py
@@ -137,7 +137,7 @@
             reason=reason,
             retry_after_ms=_waits.retry_after_ms(
                 backlog_ms=blocked_ms + backlog / outlook.rate,
-                priority=waiter.priority,
+                priority=max(0, demand.priority + demand.route_priority),
                 patience_left_ms=waiter.patience_until_ms - now_ms,
                 generator=self._random,
             ),
--- a/src/carobslip/slotbroker/_types.py
+++ b/src/carobslip/slotbroker/_types.py
@@ -31,7 +31,8 @@
         service: The service that serves it.
         entry: The entry that asks.
         data_centre: Where that entry runs.
-        priority: 0 is the highest.
+        priority: Priority of the team, or of the route if the team has none; 0
+            is the highest.
         on_time_left_ms: Time until the caller's objective ends.
         wait_left_ms: It is refused if it has not started within this time.
         patience_left_ms: How long the caller still waits for its answer.
@@ -43,6 +44,8 @@
         may_have_run: A target may have run it, so it can no longer be refused
             as not run; it goes before all others.
         excluded: Targets that the entry does not use for it now.
+        route_priority: Priority of the route. It orders the requests of equal
+            ``priority``.
     """
 
     ticket: _Name
@@ -63,6 +66,7 @@
         tuple[identifiers.TargetId, ...],
         msgspec.Meta(max_length=EXCLUDED_MAX),
     ] = ()
+    route_priority: int = 0
 
 
 class SlotGranted(_Value, frozen=True, kw_only=True):
--- a/tests/test_slot_broker.py
+++ b/tests/test_slot_broker.py
@@ -261,6 +261,33 @@
     assert scene.order(held, 4) == ['resent', 'urgent', 'less urgent', 'late']
 
 
+# Priorities of teams would hide those of routes where all teams have the same one.
+def test_routes_order_the_requests_of_teams_of_equal_priority():
+    scene = Scene()
+    running = scene.ask()
+    for ticket, priority, route_priority in (
+        ('team less urgent', 2, 0),
+        ('route less urgent', 1, 2),
+        ('route urgent', 1, 0),
+        ('team urgent', 0, 2),
+    ):
+        scene.ask(
+            ticket,
+            priority=priority,
+            route_priority=route_priority,
+            on_time_left_ms=60_000.0,
+            wait_left_ms=60_000.0,
+            patience_left_ms=90_000.0,
+        )
+    scene.now += 30
+    assert scene.order(running, 4) == [
+        'team urgent',
+        'route urgent',
+        'route less urgent',
+        'team less urgent',
+    ]
+
+
 # A request without a chance would use up the time in which its caller retries.
 def test_a_request_is_refused_when_more_urgent_ones_make_it_hopeless():
     scene = Scene(slots=5)
