--- a/src/carobslip/control/_messages.py
+++ b/src/carobslip/control/_messages.py
@@ -193,6 +193,8 @@
         members_digest: Digest of the addresses that the loads belong to.
         requests: Requests at each engine, running and waiting.
         members: The addresses, unless the entry has confirmed them.
+        pass_ms: Mean length of the recent passes; 0 if unknown or not reported.
+        slowest_pace: Time that the slowest rank needs relative to the usual.
     """
 
     group: identifiers.GroupId
@@ -208,6 +210,8 @@
         tuple[Name, ...],
         msgspec.Meta(max_length=_RANKS_MAX),
     ] = ()
+    pass_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    slowest_pace: Annotated[float, msgspec.Meta(ge=0)] = 1.0
 
 
 class CrashReports(_Message, frozen=True, kw_only=True):
--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -1,6 +1,7 @@
 """Coordinates one group: tracks its load and rebalances its layout."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Final
 
 from carobslip import clocks, identifiers, observability, tasks
@@ -131,6 +132,22 @@
         epochs = {report.epoch for report in reports}
         return len(epochs) == 1 and all(one.is_open for one in reports)
 
+    @property
+    def pass_ms(self) -> float:
+        """Mean length of the recent passes of a contended service; else 0."""
+        return self._margin.pass_ms if self._is_for_contention else 0.0
+
+    @property
+    def _is_for_contention(self) -> bool:
+        settings = self.settings
+        return settings is not None and settings.planning is not None
+
+    @property
+    def slowest_pace(self) -> float:
+        """Time that the slowest rank needs relative to the usual."""
+        paces = [report.pace for report in self._fresh_reports()]
+        return max(paces, default=1.0)
+
     def loads(self) -> list[tuple[str, int, int]]:
         """Returns address, running and waiting requests of each rank.
 
@@ -360,8 +377,11 @@
         reports = self._reports_after_switch()
         armed = [report.armed for report in reports]
         # A group whose ranks are all armed alike only waits for its pass.
-        stands = any(report.held is not None for report in reports) or any(
-            one != armed[0] for one in armed
+        is_partly_armed = any(one != armed[0] for one in armed)
+        if is_partly_armed and self._is_for_contention:
+            is_partly_armed = not _have_same_next_map(reports)
+        stands = is_partly_armed or any(
+            report.held is not None for report in reports
         )
         now_ms = self._clock.now_ms()
         if not stands:
@@ -392,3 +412,15 @@
         return self._updates.reports_since(
             self._clock.now_ms() - self._times.report_fresh_ms,
         )
+
+
+def _have_same_next_map(reports: Sequence[_group_map.RankReport]) -> bool:
+    """Tells whether all ranks run one map, or will with the armed pass.
+
+    Reports from before and after the pass of a switch differ in what is armed.
+    """
+    versions = {
+        report.map_version if report.armed is None else report.armed.version
+        for report in reports
+    }
+    return len(versions) == 1
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -10,6 +10,7 @@
     configuration,
     identifiers,
     observability,
+    slotbroker,
     targets,
     verdicts,
 )
@@ -166,6 +167,14 @@
             return frozenset()
         return self._index.contended_services
 
+    def pass_figures(
+        self, service: identifiers.ServiceId
+    ) -> slotbroker.PassFigures | None:
+        """Returns what a service states about the passes of its targets."""
+        return (
+            None if self._index is None else self._index.pass_figures(service)
+        )
+
     @property
     def limits(self) -> configuration.CallerLimits:
         """Bounds on callers that are in force."""
--- a/src/carobslip/forwarding/_table.py
+++ b/src/carobslip/forwarding/_table.py
@@ -2,7 +2,7 @@
 
 import random
 
-from carobslip import configuration, identifiers
+from carobslip import configuration, identifiers, slotbroker
 
 
 class ForwardingIndex:
@@ -24,6 +24,24 @@
         self.services = {service.service: service for service in table.services}
         self.contended_services = table.contended_services
 
+    def pass_figures(
+        self, service: identifiers.ServiceId
+    ) -> slotbroker.PassFigures | None:
+        """Returns what a service states about the passes of its targets."""
+        known = self.services.get(service)
+        if known is None or known.engine is None:
+            return None
+        pauses_ms = [
+            route.pause_objective_ms
+            for route in self.table.routes
+            if route.pause_objective_ms
+            and any(share.service == service for share in route.services)
+        ]
+        return slotbroker.PassFigures(
+            fixed_ms=known.engine.steps_per_pass * known.engine.step_ms,
+            pause_ms=min(pauses_ms, default=0.0),
+        )
+
     def find_route(self, host: str, path: str) -> configuration.Route | None:
         """Returns the route with the longest prefix of a path.
 
--- a/src/carobslip/processes/_entry_slots.py
+++ b/src/carobslip/processes/_entry_slots.py
@@ -28,6 +28,8 @@
         candidates: Returns the targets that may be used for a service.
         cold_rps: Returns the requests a second that a cold target of a service
             may get; 0 for no bound.
+        pass_figures: Returns what a service states about the passes of its
+            targets.
         context: Clock, random generator, log and metrics.
     """
 
@@ -40,6 +42,9 @@
             Sequence[targets.TargetRecord],
         ],
         cold_rps: Callable[[identifiers.ServiceId], float],
+        pass_figures: Callable[
+            [identifiers.ServiceId], slotbroker.PassFigures | None
+        ],
         context: forwarding.ProcessContext,
     ) -> None:
         clock, log, metrics = context.clock, context.log, context.metrics
@@ -58,6 +63,7 @@
                 generator=context.generator,
                 log=log,
                 metrics=metrics,
+                pass_figures=pass_figures,
             ),
             node=member.node,
             is_current=member.pause_detector.is_current,
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -156,6 +156,7 @@
             member=self.member,
             candidates=lambda service: self.forwarder.candidates(service),
             cold_rps=lambda service: self.forwarder.cold_rps(service),
+            pass_figures=lambda service: self.forwarder.pass_figures(service),
             context=context,
         )
         self.forwarder = forwarding.Forwarder(
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -463,6 +463,8 @@
                 group_coordinator.loads(),
                 is_open=is_open,
                 times=times,
+                pass_ms=group_coordinator.pass_ms,
+                slowest_pace=group_coordinator.slowest_pace,
             ),
         )
 
--- a/src/carobslip/processes/_group_load.py
+++ b/src/carobslip/processes/_group_load.py
@@ -141,6 +141,8 @@
     *,
     is_open: bool,
     times: expertmap.GroupTimes,
+    pass_ms: float = 0.0,
+    slowest_pace: float = 1.0,
 ) -> control.GroupLoad:
     """Returns the message about a group.
 
@@ -149,6 +151,8 @@
         loads: Address, running and waiting requests by rank.
         is_open: Whether its ranks are working.
         times: Times of the group.
+        pass_ms: Mean length of the recent passes; 0 if unknown.
+        slowest_pace: Time that the slowest rank needs relative to the usual.
     """
     members = tuple(address for address, _running, _waiting in loads)
     return control.GroupLoad(
@@ -159,4 +163,6 @@
         members_digest=hashing.digest_names(*members),
         requests=tuple(running + waiting for _one, running, waiting in loads),
         members=members,
+        pass_ms=pass_ms,
+        slowest_pace=slowest_pace,
     )
--- a/src/carobslip/processes/_load_reception.py
+++ b/src/carobslip/processes/_load_reception.py
@@ -7,6 +7,7 @@
     forwarding,
     identifiers,
     observability,
+    slotbroker,
     targets,
 )
 from carobslip.processes import _group_load, _slot_server
@@ -59,14 +60,14 @@
         }
         contended = self._forwarder.contended_services
         totals: list[tuple[identifiers.TargetId, int]] = []
-        brokered: list[tuple[identifiers.TargetId, int]] = []
+        brokered: list[tuple[targets.TargetRecord, int]] = []
         for address, requests in zip(addresses, load.requests, strict=True):
             record = by_address.get(address)
             if record is None:
                 continue
             totals.append((record.target, requests))
             if record.service in contended:
-                brokered.append((record.target, requests))
+                brokered.append((record, requests))
         self._store(load, totals)
         self._inform_broker(load, brokered)
         self._update_stall(load, [target for target, _total in totals])
@@ -89,14 +90,32 @@
     def _inform_broker(
         self,
         load: control.GroupLoad,
-        totals: list[tuple[identifiers.TargetId, int]],
+        loads: list[tuple[targets.TargetRecord, int]],
     ) -> None:
+        totals = [(record.target, total) for record, total in loads]
         members = [target for target, _total in totals]
         if not load.is_open:
             self._server.avoid(members, load.avoid_ms)
         elif self._groups.get(load.group) is False:
             self._server.clear_avoidance(members)
         self._server.note_loads(totals, valid_ms=load.valid_ms)
+        self._inform_of_pass(load, [pair[0] for pair in loads])
+
+    def _inform_of_pass(
+        self, load: control.GroupLoad, members: list[targets.TargetRecord]
+    ) -> None:
+        if not members or not load.pass_ms:
+            return
+        self._server.note_pass(
+            slotbroker.GroupPass(
+                group=load.group,
+                members=tuple(record.target for record in members),
+                pass_ms=load.pass_ms,
+                slowest_pace=load.slowest_pace,
+                valid_ms=load.valid_ms,
+            ),
+            members,
+        )
 
     def _update_stall(
         self,
--- a/src/carobslip/processes/_slot_server.py
+++ b/src/carobslip/processes/_slot_server.py
@@ -1,7 +1,7 @@
 """Assigns slots to the requests of other entries, as their broker."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from typing import Final, Protocol
 
 from carobslip import (
@@ -10,6 +10,7 @@
     identifiers,
     observability,
     slotbroker,
+    targets,
     tasks,
 )
 
@@ -46,6 +47,13 @@
     ) -> None:
         """Stores a report of all requests at a target."""
 
+    def store_pass(
+        self,
+        report: slotbroker.GroupPass,
+        members: Sequence[targets.TargetRecord],
+    ) -> None:
+        """Stores how long the passes of a group are."""
+
     def avoid(self, target: identifiers.TargetId, avoid_ms: float) -> None:
         """Sends a target nothing for a time."""
 
@@ -136,6 +144,14 @@
         if self._broker.deadline_ms is not None:
             self._schedule()
 
+    def note_pass(
+        self,
+        report: slotbroker.GroupPass,
+        members: Sequence[targets.TargetRecord],
+    ) -> None:
+        """Stores how long the passes of a group are."""
+        self._broker.store_pass(report, members)
+
     def avoid(
         self, avoided: Collection[identifiers.TargetId], avoid_ms: float
     ) -> None:
--- a/src/carobslip/slotbroker/_broker.py
+++ b/src/carobslip/slotbroker/_broker.py
@@ -11,6 +11,7 @@
     _decision_log,
     _health,
     _leases,
+    _pass_bound,
     _ports,
     _queue,
     _scheduler,
@@ -35,6 +36,8 @@
         generator: Names leases, breaks ties and spreads retries.
         log: Receives decisions.
         metrics: Receives counts of decisions.
+        pass_figures: Returns what a service states about the passes of its
+            targets.
     """
 
     def __init__(
@@ -48,6 +51,9 @@
         generator: random.Random,
         log: observability.EventLog,
         metrics: observability.Metrics,
+        pass_figures: Callable[
+            [identifiers.ServiceId], _pass_bound.PassFigures | None
+        ] = _pass_bound.no_figures,
     ) -> None:
         self._candidates = candidates
         self._pacing = pacing
@@ -58,12 +64,16 @@
         self._leases = _leases.LeaseBook()
         self._health = _health.TargetHealth()
         self._tickets = _tickets.Tickets()
+        self._bound = _pass_bound.PassBound(
+            figures=pass_figures, leases=self._leases
+        )
         self._scheduler = _scheduler.Scheduler(
             candidates=candidates,
             leases=self._leases,
             health=self._health,
             tickets=self._tickets,
             pacing=pacing,
+            bound=self._bound,
             generator=generator,
             log=self._log,
         )
@@ -181,6 +191,17 @@
         """
         self._health.store_pace(target, pace, self._clock.now_ms() + valid_ms)
 
+    def store_pass(
+        self,
+        report: _pass_bound.GroupPass,
+        members: Sequence[targets.TargetRecord],
+    ) -> None:
+        """Stores how long the passes of a group are."""
+        limit = self._bound.store(report, members, self._clock.now_ms())
+        self._log.metrics.level(
+            f'slots.group_limit.{report.group}', limit or 0.0
+        )
+
     def avoid(self, target: identifiers.TargetId, avoid_ms: float) -> None:
         """Assigns no slots of a target for a while."""
         self._health.avoid(target, self._clock.now_ms() + avoid_ms)
@@ -212,6 +233,7 @@
         self._leases.drop_unlisted(kept)
         self._health.drop_unlisted(kept)
         self._pacing.drop_unlisted(kept)
+        self._bound.drop_unlisted(kept)
         for service, state in list(self._services.items()):
             if not len(state.queue) and not self._candidates(service):
                 self._services.pop(service)
--- a/src/carobslip/slotbroker/_placement.py
+++ b/src/carobslip/slotbroker/_placement.py
@@ -5,7 +5,13 @@
 from typing import Final
 
 from carobslip import targets
-from carobslip.slotbroker import _health, _leases, _ports, _types
+from carobslip.slotbroker import (
+    _health,
+    _leases,
+    _pass_bound,
+    _ports,
+    _types,
+)
 
 #: Difference of loads below which they are equal.
 _EQUAL: Final = 1e-9
@@ -18,6 +24,7 @@
         leases: Load of the targets.
         health: Failures and slowness of the targets.
         pacing: Request rates of started targets.
+        bound: Requests that groups may have in progress.
         generator: Breaks ties.
     """
 
@@ -27,11 +34,13 @@
         leases: _leases.LeaseBook,
         health: _health.TargetHealth,
         pacing: _ports.TargetPacing,
+        bound: _pass_bound.PassBound,
         generator: random.Random,
     ) -> None:
         self._leases = leases
         self._health = health
         self._pacing = pacing
+        self._bound = bound
         self._random = generator
 
     def usable(
@@ -48,10 +57,12 @@
         self, candidates: Sequence[targets.TargetRecord], now_ms: float
     ) -> list[targets.TargetRecord]:
         """Returns the usable targets with a free slot."""
+        in_progress: dict[int, int] = {}
         return [
             record
             for record in self.usable(candidates, now_ms)
             if self._leases.room(record, now_ms) > 0
+            and self._bound.has_room(record.target, in_progress, now_ms)
         ]
 
     def choose(
--- a/src/carobslip/slotbroker/_scheduler.py
+++ b/src/carobslip/slotbroker/_scheduler.py
@@ -9,6 +9,7 @@
     _decision_log,
     _health,
     _leases,
+    _pass_bound,
     _placement,
     _ports,
     _queue,
@@ -47,6 +48,7 @@
         health: Failures and slowness of targets.
         tickets: Receives the state of each ticket.
         pacing: Limits the request rate of started targets.
+        bound: Limits the requests of groups.
         generator: Names leases, breaks ties and spreads retries.
         log: Receives decisions.
     """
@@ -61,6 +63,7 @@
         health: _health.TargetHealth,
         tickets: _tickets.Tickets,
         pacing: _ports.TargetPacing,
+        bound: _pass_bound.PassBound,
         generator: random.Random,
         log: _decision_log.DecisionLog,
     ) -> None:
@@ -73,7 +76,11 @@
         self._log = log
         self.returns = _returns.Returns()
         self._placement = _placement.Placement(
-            leases=leases, health=health, pacing=pacing, generator=generator
+            leases=leases,
+            health=health,
+            pacing=pacing,
+            bound=bound,
+            generator=generator,
         )
 
     def decide(
