--- a/src/carobslip/slotbroker/_broker.py
+++ b/src/carobslip/slotbroker/_broker.py
@@ -160,13 +160,8 @@
             outcome, started_ms=lease.started_ms, now_ms=now_ms
         )
         if avoid_ms:
-            self._log.write(
-                observability.Event.SLOT_TARGET_AVOIDED,
-                'slots.target_avoided',
-                target=outcome.target,
-                reason=outcome.result.value,
-                avoid_ms=round(avoid_ms),
-            )
+            self._note_avoided(outcome.target, outcome.result.value, avoid_ms)
+            self._pacing.note_recovered(outcome.target)
 
     def store_report(
         self, target: identifiers.TargetId, total: int, *, valid_ms: float
@@ -204,14 +199,9 @@
 
     def avoid(self, target: identifiers.TargetId, avoid_ms: float) -> None:
         """Assigns no slots of a target for a while."""
-        self._health.avoid(target, self._clock.now_ms() + avoid_ms)
-        self._log.write(
-            observability.Event.SLOT_TARGET_AVOIDED,
-            'slots.target_avoided',
-            target=target,
-            reason='stalled',
-            avoid_ms=round(avoid_ms),
-        )
+        now_ms = self._clock.now_ms()
+        if self._health.avoid(target, now_ms + avoid_ms, now_ms):
+            self._note_avoided(target, 'stalled', avoid_ms)
 
     def clear_avoidance(self, target: identifiers.TargetId) -> None:
         """Ends the avoidance of a target."""
@@ -303,6 +293,17 @@
                 )
             )
 
+    def _note_avoided(
+        self, target: identifiers.TargetId, reason: str, avoid_ms: float
+    ) -> None:
+        self._log.write(
+            observability.Event.SLOT_TARGET_AVOIDED,
+            'slots.target_avoided',
+            target=target,
+            reason=reason,
+            avoid_ms=round(avoid_ms),
+        )
+
     def _end(
         self, ticket: str, entry: identifiers.InstanceId, now_ms: float
     ) -> None:
--- a/src/carobslip/slotbroker/_health.py
+++ b/src/carobslip/slotbroker/_health.py
@@ -60,10 +60,18 @@
             return 0.0
         return max(known.avoid_until_ms, known.stalled_until_ms)
 
-    def avoid(self, target: identifiers.TargetId, until_ms: float) -> None:
-        """Avoids a target, whatever its requests show."""
+    def avoid(
+        self, target: identifiers.TargetId, until_ms: float, now_ms: float
+    ) -> bool:
+        """Avoids a target, whatever its requests show.
+
+        Returns:
+            Whether the avoidance begins, rather than being renewed.
+        """
         known = self._get(target)
+        is_new = known.stalled_until_ms <= now_ms
         known.stalled_until_ms = max(known.stalled_until_ms, until_ms)
+        return is_new
 
     def clear(self, target: identifiers.TargetId) -> None:
         """Ends the avoidance of a target whose cause has been removed."""
--- a/src/carobslip/slotbroker/_ports.py
+++ b/src/carobslip/slotbroker/_ports.py
@@ -19,5 +19,8 @@
     def note_outcome(self, outcome: _types.SlotOutcome) -> None:
         """Counts a request that has ended."""
 
+    def note_recovered(self, target: identifiers.TargetId) -> None:
+        """Limits a target that gets requests again after failures."""
+
     def drop_unlisted(self, listed: Iterable[identifiers.TargetId]) -> None:
         """Drops the state of targets that are not listed."""
--- a/tests/fakes/slot_policies.py
+++ b/tests/fakes/slot_policies.py
@@ -15,6 +15,9 @@
     def note_outcome(self, outcome):
         """Does nothing."""
 
+    def note_recovered(self, target):
+        """Does nothing."""
+
     def drop_unlisted(self, listed):
         """Does nothing."""
 
--- a/tests/test_slot_broker.py
+++ b/tests/test_slot_broker.py
@@ -485,6 +485,25 @@
     assert is_granted(scene.ask())
 
 
+# A target that has just recovered would get as many requests as a healthy one.
+def test_an_avoided_target_is_limited_when_it_returns():
+    recovered = []
+    pacing = slot_policies.NoPacing()
+    pacing.note_recovered = recovered.append
+    scene = Scene(pacing=pacing)
+    scene.end(scene.ask(), 'unreachable', events=0)
+    assert recovered == ['t-0']
+
+
+# Each report of a stalled group would write a line for each target at each entry.
+def test_a_stall_is_written_once():
+    scene = Scene()
+    for _ in range(5):
+        scene.broker.avoid('t-0', 3000.0)
+        scene.now += 500
+    assert [event.code for event, _ in scene.log.lines].count(433) == 1
+
+
 # A stalled group would take requests that the others could answer in time.
 def test_a_stalled_target_gets_nothing_until_it_is_cleared():
     scene = Scene(count=2, slots=5)
