--- a/src/carobslip/forwarding/__init__.py
+++ b/src/carobslip/forwarding/__init__.py
@@ -1,6 +1,6 @@
 """Forwards requests from an entry directly to targets."""
 
-from carobslip.forwarding._admission import Admission, Demand, Refusal
+from carobslip.forwarding._admission import Admission
 from carobslip.forwarding._context import (
     FleetView,
     ForwardingRules,
@@ -8,6 +8,7 @@
     SharedLimits,
 )
 from carobslip.forwarding._crash_watch import CrashWatch
+from carobslip.forwarding._demand import Demand, Refusal
 from carobslip.forwarding._events import EventSplitter, StreamEvent
 from carobslip.forwarding._forwarder import Forwarder
 from carobslip.forwarding._loads import LoadTracker
--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections
-import math
 import random
 from collections.abc import Callable, Sequence
 from typing import Final
@@ -18,6 +17,7 @@
 from carobslip import clocks, identifiers, targets
 from carobslip.forwarding import (
     _cold_turns,
+    _demand,
     _loads,
     _permits,
     _slot_ports,
@@ -50,77 +50,10 @@
 _RECHECK_S: Final = 0.05
 
 
-class Demand(msgspec.Struct, frozen=True, kw_only=True):
-    """What a request needs in order to start.
-
-    Attributes:
-        service: The service that serves it.
-        priority: 0 is the highest.
-        on_time_until_ms: A start until then can still meet the objective.
-        wait_until_ms: It is refused if it has not started by then, which can
-            happen when the queue moves more slowly than predicted.
-        excluded: Targets that have rejected it or lost its answer.
-        cold_rps: Requests a second that a cold target supports; 0 for no
-            bound.
-        share_min: Slots at a target that an entry may use without a report of
-            the load from other entries.
-        may_have_run: A target may have run it, so it can no longer be refused
-            as not run; it goes before all others.
-        route_priority: Priority of the route, if the team has its own.
-        objective_until_ms: When the caller's objective ends.
-        patience_until_ms: How long the caller waits for its answer.
-        team: The team that owns it.
-        prompt_tokens: Prompt size that the caller states; 0 if none.
-        answer_tokens_max: Limit of generated tokens; 0 if not stated.
-        answer_tokens_hint: The caller's estimate of them; 0 if none.
-        content_digest: Equal for repeats of the same content by a caller.
-        trace: Receives the decisions of brokers.
-        spreads_cold_rate: An entry whose share of ``cold_rps`` is below one
-            request a second sends in turn with the others, rather than one
-            request a second.
-    """
-
-    service: identifiers.ServiceId
-    priority: int
-    on_time_until_ms: float
-    wait_until_ms: float
-    excluded: frozenset[identifiers.TargetId] = frozenset()
-    cold_rps: float = 0
-    share_min: int = 1
-    may_have_run: bool = False
-    route_priority: int = 0
-    objective_until_ms: float = math.inf
-    patience_until_ms: float = math.inf
-    team: identifiers.TeamId | None = None
-    prompt_tokens: int = 0
-    answer_tokens_max: int = 0
-    answer_tokens_hint: int = 0
-    content_digest: int = 0
-    trace: _slot_ports.SlotTrace | None = None
-    spreads_cold_rate: bool = False
-
-
-class Refusal(msgspec.Struct, frozen=True, kw_only=True):
-    """Why a request did not start, and when to retry it.
-
-    Attributes:
-        reason: Cause of the refusal, for logs.
-        retry_after_ms: Delay after which a retry may succeed.
-        waiting: Requests that waited for the service.
-        without_place: Number of targets by the reason why they had no free
-            slot, for logs.
-    """
-
-    reason: str
-    retry_after_ms: float
-    waiting: int
-    without_place: dict[str, int]
-
-
 class _Waiter:
     """One request in the queue."""
 
-    def __init__(self, demand: Demand, order: int) -> None:
+    def __init__(self, demand: _demand.Demand, order: int) -> None:
         self.demand = demand
         self.order = order
         self.start: asyncio.Future[targets.TargetRecord] = (
@@ -183,7 +116,7 @@
         """Returns how many requests wait for a service."""
         return len(self._waiters.get(service, ()))
 
-    def take(self, demand: Demand) -> targets.TargetRecord | None:
+    def take(self, demand: _demand.Demand) -> targets.TargetRecord | None:
         """Takes a slot that is free now, bypassing the queue, if there is one.
 
         Meant for a request that is already in progress at a stalled target.
@@ -199,7 +132,9 @@
         )
         return None if record is None else self._start(record)
 
-    async def admit(self, demand: Demand) -> targets.TargetRecord | Refusal:
+    async def admit(
+        self, demand: _demand.Demand
+    ) -> targets.TargetRecord | _demand.Refusal:
         """Waits for a slot; the caller must return it with ``release``.
 
         Args:
@@ -245,7 +180,9 @@
         for service in list(self._waiters):
             self.start_queued(service)
 
-    async def _wait(self, demand: Demand) -> targets.TargetRecord | Refusal:
+    async def _wait(
+        self, demand: _demand.Demand
+    ) -> targets.TargetRecord | _demand.Refusal:
         self._order += 1
         waiter = _Waiter(demand, self._order)
         queue = self._waiters.setdefault(demand.service, [])
@@ -262,7 +199,7 @@
 
     async def _end_of_wait(
         self, waiter: _Waiter
-    ) -> targets.TargetRecord | Refusal:
+    ) -> targets.TargetRecord | _demand.Refusal:
         demand = waiter.demand
         while self._clock.now_ms() < demand.wait_until_ms:
             await asyncio.wait([waiter.start], timeout=_RECHECK_S)
@@ -275,10 +212,12 @@
                 return self._refuse('no new requests', demand)
         return self._refuse('waited too long', demand)
 
-    def _is_closed_for(self, demand: Demand) -> bool:
+    def _is_closed_for(self, demand: _demand.Demand) -> bool:
         return self.is_closed and not demand.may_have_run
 
-    def _predict_refusal(self, demand: Demand) -> Refusal | None:
+    def _predict_refusal(
+        self, demand: _demand.Demand
+    ) -> _demand.Refusal | None:
         """Returns a refusal if the request is not expected to start in time."""
         candidates = self._candidates(demand.service)
         allowed = [
@@ -334,7 +273,7 @@
 
     def _can_wait_for_avoided(
         self,
-        demand: Demand,
+        demand: _demand.Demand,
         avoided: Sequence[targets.TargetRecord],
     ) -> bool:
         """Tells whether avoided targets become usable before the wait ends.
@@ -353,11 +292,11 @@
     def _refuse(
         self,
         reason: str,
-        demand: Demand,
+        demand: _demand.Demand,
         *,
         retry_ms: tuple[float, float] = (_RETRY_MIN_MS, _RETRY_MAX_MS),
-    ) -> Refusal:
-        return Refusal(
+    ) -> _demand.Refusal:
+        return _demand.Refusal(
             reason=reason,
             retry_after_ms=self._random.uniform(*retry_ms),
             waiting=self.waiting(demand.service),
@@ -372,7 +311,7 @@
     def _why_no_place(
         self,
         record: targets.TargetRecord,
-        demand: Demand,
+        demand: _demand.Demand,
     ) -> str:
         loads = self._loads
         excluded = self._why_excluded(record, demand)
@@ -387,7 +326,7 @@
     def _why_excluded(
         self,
         record: targets.TargetRecord,
-        demand: Demand,
+        demand: _demand.Demand,
     ) -> str | None:
         """Returns why a target must not get a request, whatever its load."""
         if record.target in demand.excluded:
@@ -400,7 +339,9 @@
             return 'cold'
         return None
 
-    def _find_place(self, demand: Demand) -> targets.TargetRecord | None:
+    def _find_place(
+        self, demand: _demand.Demand
+    ) -> targets.TargetRecord | None:
         free = [
             record
             for record in self._candidates(demand.service)
@@ -428,7 +369,7 @@
     def _is_within_cold_rate(
         self,
         record: targets.TargetRecord,
-        demand: Demand,
+        demand: _demand.Demand,
     ) -> bool:
         if demand.cold_rps <= 0:
             return True
@@ -445,7 +386,7 @@
     def _turns_per_ms(
         self,
         usable: Sequence[targets.TargetRecord],
-        demand: Demand,
+        demand: _demand.Demand,
     ) -> float:
         """Returns the rate at which this entry gets turns at free targets."""
         if not demand.spreads_cold_rate:
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -8,10 +8,10 @@
 
 from carobslip import guard, observability, slotbroker, targets, verdicts
 from carobslip.forwarding import (
-    _admission,
     _calls,
     _context,
     _crash_watch,
+    _demand,
     _loads,
     _numbers,
     _pending_request,
@@ -59,9 +59,7 @@
         port: _ports.TargetPort,
         stalls: _stalls.StallTracker,
         admission: _slot_source.SlotSource,
-        demand_of: Callable[
-            [_pending_request.PendingRequest], _admission.Demand
-        ],
+        demand_of: Callable[[_pending_request.PendingRequest], _demand.Demand],
         budget: _repeat_budget.RepeatBudget,
         crash_watch: _crash_watch.CrashWatch,
         context: _context.ProcessContext,
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -19,6 +19,7 @@
     _attempts,
     _context,
     _crash_watch,
+    _demand,
     _loads,
     _pending_request,
     _ports,
@@ -332,7 +333,7 @@
             if held is not None:
                 return held
             place = await self._find_place(pending)
-            if isinstance(place, _admission.Refusal):
+            if isinstance(place, _demand.Refusal):
                 return self._end_without_place(pending, place)
             if await self._has_permit(pending, place):
                 break
@@ -379,7 +380,7 @@
     async def _find_place(
         self,
         pending: _pending_request.PendingRequest,
-    ) -> targets.TargetRecord | _admission.Refusal:
+    ) -> targets.TargetRecord | _demand.Refusal:
         asked_ms = self._clock.now_ms()
         try:
             return await self.admission.admit(self._demand_of(pending))
@@ -399,7 +400,7 @@
 
     def _demand_of(
         self, pending: _pending_request.PendingRequest
-    ) -> _admission.Demand:
+    ) -> _demand.Demand:
         arrived_ms = pending.request.arrived_ms
         on_time_ms = _ON_TIME_WAIT_SHARE * pending.route.objective_ms
         is_stream = pending.route.kind is configuration.RequestKind.STREAM
@@ -411,7 +412,7 @@
         else:
             wait_until_ms = arrived_ms + _STREAM_WAIT_MAX_MS
         request = pending.request
-        return _admission.Demand(
+        return _demand.Demand(
             service=pending.service,
             priority=pending.priority,
             on_time_until_ms=arrived_ms + on_time_ms,
@@ -456,7 +457,7 @@
     def _end_without_place(
         self,
         pending: _pending_request.PendingRequest,
-        refusal: _admission.Refusal,
+        refusal: _demand.Refusal,
     ) -> verdicts.Outcome:
         """Returns the outcome of a request that was refused a slot."""
         pending.without_place = refusal.without_place
--- a/src/carobslip/forwarding/_slot_source.py
+++ b/src/carobslip/forwarding/_slot_source.py
@@ -22,6 +22,7 @@
 )
 from carobslip.forwarding import (
     _admission,
+    _demand,
     _loads,
     _permits,
     _slot_ports,
@@ -56,12 +57,12 @@
     def waiting(self, service: identifiers.ServiceId) -> int:
         """Returns how many requests wait for a service."""
 
-    def take(self, demand: _admission.Demand) -> targets.TargetRecord | None:
+    def take(self, demand: _demand.Demand) -> targets.TargetRecord | None:
         """Takes a slot that is free now, bypassing the queue, if there is one."""
 
     async def admit(
-        self, demand: _admission.Demand
-    ) -> targets.TargetRecord | _admission.Refusal:
+        self, demand: _demand.Demand
+    ) -> targets.TargetRecord | _demand.Refusal:
         """Waits for a slot; the caller must return it with ``release``."""
 
     def release(
@@ -135,7 +136,7 @@
         self._metrics = metrics
         self.permits = own.permits
         self._questions: dict[
-            asyncio.Task[_slot_ports.Assignment], _admission.Demand
+            asyncio.Task[_slot_ports.Assignment], _demand.Demand
         ] = {}
         # A request may hold two slots at one target, so that leases are found
         # by the identity of the record that ``admit`` has returned.
@@ -160,7 +161,7 @@
         )
         return asking + self._own.waiting(service)
 
-    def take(self, demand: _admission.Demand) -> targets.TargetRecord | None:
+    def take(self, demand: _demand.Demand) -> targets.TargetRecord | None:
         """Takes a slot that is free now, bypassing the queue, if there is one.
 
         The broker is not asked, because the answer would come too late; it
@@ -169,8 +170,8 @@
         return self._own.take(demand)
 
     async def admit(
-        self, demand: _admission.Demand
-    ) -> targets.TargetRecord | _admission.Refusal:
+        self, demand: _demand.Demand
+    ) -> targets.TargetRecord | _demand.Refusal:
         """Waits for a slot; the caller must return it with ``release``."""
         if demand.service not in self._contended():
             return await self._own.admit(demand)
@@ -211,10 +212,10 @@
         """Rechecks the queues of requests that no broker decides on."""
         self._own.recheck_queues()
 
-    def _is_closed_for(self, demand: _admission.Demand) -> bool:
+    def _is_closed_for(self, demand: _demand.Demand) -> bool:
         return self.is_closed and not demand.may_have_run
 
-    async def _ask(self, demand: _admission.Demand) -> _slot_ports.Assignment:
+    async def _ask(self, demand: _demand.Demand) -> _slot_ports.Assignment:
         """Returns the decision; without one if no broker decides."""
         asked = self._slot_demand(demand)
         trace = demand.trace
@@ -255,7 +256,7 @@
                 _slot_ports.UNUSED,
             )
 
-    def _slot_demand(self, demand: _admission.Demand) -> slotbroker.SlotDemand:
+    def _slot_demand(self, demand: _demand.Demand) -> slotbroker.SlotDemand:
         now_ms = self._clock.now_ms()
         return slotbroker.SlotDemand(
             ticket=self._port.new_ticket(),
@@ -277,7 +278,7 @@
         )
 
     def _excluded(
-        self, demand: _admission.Demand
+        self, demand: _demand.Demand
     ) -> tuple[identifiers.TargetId, ...]:
         """Returns the targets that this entry does not use for a request."""
         excluded = list(demand.excluded)
@@ -294,7 +295,7 @@
 
     def _use(
         self,
-        demand: _admission.Demand,
+        demand: _demand.Demand,
         assignment: _slot_ports.Assignment,
         granted: slotbroker.SlotGranted,
     ) -> targets.TargetRecord | None:
@@ -335,7 +336,7 @@
         return place
 
     def _find(
-        self, demand: _admission.Demand, target: identifiers.TargetId
+        self, demand: _demand.Demand, target: identifiers.TargetId
     ) -> targets.TargetRecord | None:
         if target in demand.excluded or self._is_held_back(target):
             return None
@@ -365,13 +366,13 @@
 
     def _refuse(
         self,
-        demand: _admission.Demand,
+        demand: _demand.Demand,
         assignment: _slot_ports.Assignment,
         refused: slotbroker.SlotRefused,
-    ) -> _admission.Refusal:
+    ) -> _demand.Refusal:
         _note(demand, assignment, 'refused')
         self._metrics.count('brokered.refused')
-        return _admission.Refusal(
+        return _demand.Refusal(
             reason=refused.reason,
             retry_after_ms=math.ceil(refused.retry_after_ms),
             waiting=refused.waiting,
@@ -380,7 +381,7 @@
 
 
 def _note(
-    demand: _admission.Demand,
+    demand: _demand.Demand,
     assignment: _slot_ports.Assignment,
     decision: str,
     lease: str = '',
