--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -310,7 +310,8 @@
         switched = result is _switch.SwitchResult.SWITCHED
         if switched and plan is not None:
             self._layout = plan.layout
-        elif result is not _switch.SwitchResult.KEPT:
+        elif result is not _switch.SwitchResult.KEPT or self._is_for_contention:
+            # Ranks that refuse a plan may hold another layout than expected.
             self._layout = None
         if result is _switch.SwitchResult.SUPERSEDED:
             self._fence = _coordinator_numbers.raise_fence(
--- a/src/carobslip/expertmap/_layout_fetch.py
+++ b/src/carobslip/expertmap/_layout_fetch.py
@@ -78,6 +78,10 @@
         if not _have_same_map(answers):
             self.why = 'ranks have different maps'
             return None
+        if any(one.report and one.report.armed for one in answers):
+            # The ranks will have another layout with the next passes.
+            self.why = 'a switch is armed'
+            return None
         return _group_map.join_ranks([answer.experts for answer in answers])
 
 
