--- a/src/carobslip/slotbroker/_pass_bound.py
+++ b/src/carobslip/slotbroker/_pass_bound.py
@@ -17,11 +17,14 @@
 #: Part of the longest pause that a usual pass may take. A shift of the popular
 #: experts makes passes half as long again until the map follows.
 _USUAL_SHARE: Final = 0.65
-#: Part of the slots that a group may always use, and from which the measured
-#: passes are those of a busy group.
-_SLOTS_SHARE_MIN: Final = 0.5
-#: Weight of one report: the bound must not swing with the passes it causes.
-_REPORT_SHARE: Final = 0.4
+#: Part of the slots that a group may always use. With fewer requests, the fixed
+#: part of a pass costs more answers than shorter passes make on time.
+_SLOTS_SHARE_MIN: Final = 0.75
+#: Part of the slots from which measured passes are those of a busy group.
+_BUSY_SHARE: Final = 0.5
+#: Weight of one report. Reports show passes of up to a second ago, and the bound
+#: would swing with the passes that it causes.
+_REPORT_SHARE: Final = 0.25
 
 
 class PassFigures(msgspec.Struct, frozen=True, kw_only=True):
@@ -171,7 +174,7 @@
             # Late whatever the number; all slots serve the most requests.
             return None
         in_progress = self._count(report.members, now_ms)
-        if in_progress < _SLOTS_SHARE_MIN * slots:
+        if in_progress < _BUSY_SHARE * slots:
             return None
         each_ms = (report.pass_ms - fixed_ms) / in_progress
         if each_ms <= 0:
