--- a/src/carobslip/expertmap/_plan_settings.py
+++ b/src/carobslip/expertmap/_plan_settings.py
@@ -6,9 +6,9 @@
 
 from carobslip.expertmap import _group_times, _plan
 
-#: Longest interval between two plans that is a multiple of the report period,
-#: if the period allows. Small groups plan as often as without contention. A shorter one plans from counts that mostly precede a
-#: shift of popularity, and copies run all the time.
+#: Interval between two plans, rounded to whole report periods. With a shorter one,
+#: most counts precede a shift of popularity, and copies run all the time. Small
+#: groups plan as often as without contention.
 _INTERVAL_MAX_MS: Final = 800.0
 #: Part of a report period by which a plan may be early, as periods vary.
 _EARLY_PERIODS: Final = 0.25
--- a/src/carobslip/forwarding/_table.py
+++ b/src/carobslip/forwarding/_table.py
@@ -23,19 +23,27 @@
         }
         self.services = {service.service: service for service in table.services}
         self.contended_services = table.contended_services
+        self._pass_figures = {
+            service.service: self._find_pass_figures(service)
+            for service in table.services
+        }
 
     def pass_figures(
         self, service: identifiers.ServiceId
     ) -> slotbroker.PassFigures | None:
         """Returns what a service states about the passes of its targets."""
-        known = self.services.get(service)
-        if known is None or known.engine is None:
+        return self._pass_figures.get(service)
+
+    def _find_pass_figures(
+        self, known: configuration.ForwardedService
+    ) -> slotbroker.PassFigures | None:
+        if known.engine is None:
             return None
         pauses_ms = [
             route.pause_objective_ms
             for route in self.table.routes
             if route.pause_objective_ms
-            and any(share.service == service for share in route.services)
+            and any(share.service == known.service for share in route.services)
         ]
         return slotbroker.PassFigures(
             fixed_ms=known.engine.steps_per_pass * known.engine.step_ms,
--- a/src/carobslip/processes/_group_guard.py
+++ b/src/carobslip/processes/_group_guard.py
@@ -128,6 +128,7 @@
         self._periods = 0
         self._load_due_ms = 0.0
         self._published_open = True
+        self._contention: tuple[configuration.Forwarding, bool] | None = None
 
     async def start(self) -> None:
         """Starts the task that joins the fleet and polls the engine."""
@@ -423,8 +424,7 @@
         size: int,
     ) -> expertmap.PlanSettings | None:
         """Returns how maps are planned; None if the service lacks contention."""
-        table = self._member.holder.configuration.forwarding
-        if self._own.service not in table.contended_services:
+        if not self._is_contended():
             return None
         return expertmap.plan_settings(
             size=size,
@@ -433,6 +433,18 @@
             new_experts_max=engine.new_experts_max,
         )
 
+    def _is_contended(self) -> bool:
+        """Tells whether the service is contended.
+
+        The answer is kept for each configuration, which may have thousands of
+        routes; reports are several a second.
+        """
+        table = self._member.holder.configuration.forwarding
+        if self._contention is None or self._contention[0] is not table:
+            is_contended = self._own.service in table.contended_services
+            self._contention = table, is_contended
+        return self._contention[1]
+
     def _engine_figures(self) -> configuration.EngineFigures | None:
         table = self._member.holder.configuration.forwarding
         for service in table.services:
