--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -257,6 +257,68 @@
         ]
 
 
+class Link:
+    """A proxy between an entry and the store, which can be cut.
+
+    While it is cut it carries nothing, and no connection ends.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.address = f'{new_ip()}:{_PORTS["store"]}'
+        self._store = store
+        self._is_whole = asyncio.Event()
+        self._is_whole.set()
+        self.calls: list[tuple[float, str]] = []
+        self._tasks: set[asyncio.Future[None]] = set()
+
+    async def start(self) -> None:
+        """Starts carrying."""
+        ip, _colon, port = self.address.partition(':')
+        await asyncio.start_server(self._carry, ip, int(port))
+
+    def cut(self) -> None:
+        """Carries nothing from now on."""
+        self._is_whole.clear()
+
+    def heal(self) -> None:
+        """Carries again."""
+        self._is_whole.set()
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        ip, _colon, port = self._store.address.partition(':')
+        try:
+            there, to_store = await asyncio.open_connection(ip, int(port))
+        except _GONE:
+            writer.close()
+            return
+        back = asyncio.ensure_future(self._pump(there, writer))
+        self._tasks.add(back)
+        back.add_done_callback(self._tasks.discard)
+        await self._pump(reader, to_store, are_calls=True)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        are_calls: bool = False,
+    ) -> None:
+        try:
+            while content := await reader.read(65536):
+                await self._is_whole.wait()
+                if are_calls:
+                    line = content.partition(b'\r\n')[0].decode('latin1')
+                    self.calls.append((time.monotonic(), line))
+                writer.write(content)
+                await writer.drain()
+        except _GONE:
+            return
+        finally:
+            writer.close()
+
+
 class Engine:
     """An engine that reports itself to the store.
 
@@ -376,7 +438,7 @@
 class Entry:
     """An entry process of a small deployment."""
 
-    def __init__(self, name: str, store: Store) -> None:
+    def __init__(self, name: str, store: Store | Link) -> None:
         self.name = name
         self.ip = new_ip()
         self.seeds: list[str] = []
