--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -24,8 +24,9 @@
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-#: Exit codes of a case.
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+#: Exit codes of a case. The interpreter ends with 1 on errors of its own, so that
+#: run.sh translates BROKEN to 1 and all other codes but 0 to 2.
+HELD, BROKEN, NOT_RUN = 0, 11, 2
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 CASE_MAX_S = 100.0
 START_MAX_S = 30.0
