Review case 9: the exit code of a failing interpreter

An interpreter that fails ends with 1, which would have counted as a broken rule; run.sh now translates the result and ends with 2 for anything else.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,9 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case did not run.
 cd "$(dirname "$0")" || exit 2
-export PYTHONDONTWRITEBYTECODE=1
-PYTHONPATH="$PWD/../support-2" exec python3 case.py
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$PWD/../support-2" python3 case.py
+case $? in
+  0) exit 0 ;;
+  11) exit 1 ;;
+  *) exit 2 ;;
+esac
