--- a/review/6/case.py
+++ b/review/6/case.py
@@ -159,12 +159,12 @@
         )
         return standins.BROKEN if count > ALLOWED else standins.HELD
     finally:
+        for entry in entries:
+            await entry.end()
         for task in (*reporting, *restarts):
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
-        for entry in entries:
-            await entry.end()
 
 
 if __name__ == '__main__':
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -128,12 +128,12 @@
             raise standins.CaseFailed('an engine got no request')
         return standins.BROKEN if late_ms else standins.HELD
     finally:
+        for entry in entries:
+            await entry.end()
         for task in reporting:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
-        for entry in entries:
-            await entry.end()
 
 
 if __name__ == '__main__':
