--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,8 +24,8 @@
 #: An engine is back this long after a crash.
 BACK_S = 2.0
 PLAY_S = 40.0
-SOUND_RPS = 6.0
-BAD_RPS = 0.8
+SOUND_RPS = 7.6
+BAD_RPS = 0.4
 SHARED = '5c1e07a2:40'
 BAD = 'bad0c0de:30'
 EVENTS = 5
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,7 @@
 """CONFIG at an entry that does not watch the store while the others are cut off.
 
 Three entries of one zone. Two of them watch the store; they are partitioned from
-it for some seconds, four times. The third one has a sound path to the store all
+it for some seconds, seven times. The third one has a sound path to the store all
 the while. The operator moves routes to another service meanwhile.
 """
 
@@ -14,10 +14,10 @@
 OLD, NEW = 'bookings', 'bookings-two'
 APPLY_S = float(standins.BOUNDS['config_apply_ms']) / 1000
 #: Number and length of the cuts, the time between them, and the changes in each.
-CUTS = 4
-CUT_S = 5.5
-BETWEEN_S = 4.0
-CHANGES = 16
+CUTS = 7
+CUT_S = 4.7
+BETWEEN_S = 2.5
+CHANGES = 12
 CHANGE_GAP_S = 0.33
 ROUTES = CUTS * CHANGES
 PAUSE_S = 0.05
