Refuse answers whose head or framing is broken

What callers saw: an engine's answer with status 000 was passed on under the engine's digest. So were 001 to 099, 101, 600 to 999 and HTTP/2.0; answers with a blank before a field name, whose line was joined to the field before it; with a blank after "Connection", "Upgrade" or "Proxy-Connection"; with control bytes in values; and bodies in an unknown transfer coding with their framing. A probe took status 000 for a working target, an order with it for a refused one.

Cause: the client library parses answers leniently outside of its debug mode, and checks no meaning of the status line. Its compiled parser treats the fields that it interprets itself in a way of its own. Only one fault, heads joined from two answers, was looked for, and not in the answers that guards read.

Change: all client sessions connect by StrictConnector. It puts both forms of the library's parser in strict mode, and checks status, version, reason, coding and second status lines of interim and final heads where the parser hands them over. The middleware for joined heads is part of it. A refused answer counts as lost: work that must not repeat gets 502, other work another target. Event 516 and the counters answers_refused.CAUSE name the cause.

Also refused now, since strict mode knows no exception: lines that end with a line feed alone, a blank after a chunk's size, and two fields of one name where HTTP allows one (Content-Type, Server, ETag and others).

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from benchmarks import latency, placement, serving, slopes
+from benchmarks import answer_heads, latency, placement, serving, slopes
 
 
 def main() -> None:
@@ -10,6 +10,7 @@
     if sys.argv[1:] == ['slopes']:
         slopes.main()
         return
+    answer_heads.main()
     latency.main()
     placement.main()
     serving.main()
--- a/src/carobslip/adapters/guard_client.py
+++ b/src/carobslip/adapters/guard_client.py
@@ -7,12 +7,8 @@
 
 import aiohttp
 
-from carobslip import attempts, entry
-from carobslip.adapters import (
-    client_faults,
-    joined_heads,
-    single_sends,
-)
+from carobslip import attempts, entry, observability
+from carobslip.adapters import client_faults, single_sends, strict_answers
 
 _CONNECT_TIMEOUT_S: Final = 0.5
 
@@ -104,10 +100,21 @@
             )
 
 
-def new_session() -> aiohttp.ClientSession:
-    """Returns a client session for calls between the system's processes."""
+def new_session(
+    *,
+    log: observability.EventLog | None = None,
+    metrics: observability.Metrics | None = None,
+) -> aiohttp.ClientSession:
+    """Returns a client session for calls between the system's processes.
+
+    Args:
+        log: Records answers that were refused.
+        metrics: Counts them.
+    """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+        connector=strict_answers.StrictConnector(
+            log=log, metrics=metrics, limit=0, keepalive_timeout=30
+        ),
         timeout=aiohttp.ClientTimeout(
             total=None,
             sock_connect=_CONNECT_TIMEOUT_S,
@@ -115,8 +122,5 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         trust_env=False,
-        middlewares=(
-            single_sends.send_once,
-            joined_heads.refuse_joined_heads,
-        ),
+        middlewares=(single_sends.send_once,),
     )
--- a/src/carobslip/adapters/target_client.py
+++ b/src/carobslip/adapters/target_client.py
@@ -6,8 +6,8 @@
 
 import aiohttp
 
-from carobslip import guard
-from carobslip.adapters import client_faults, single_sends
+from carobslip import guard, observability
+from carobslip.adapters import client_faults, single_sends, strict_answers
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _PROBE_TIMEOUT_S: Final = 1.0
@@ -40,13 +40,24 @@
     Args:
         base_url: Base URL of the target.
         probe_path: Path of a cheap call that checks whether the target is up.
+        log: Records answers that were refused.
+        metrics: Counts them.
     """
 
-    def __init__(self, *, base_url: str, probe_path: str) -> None:
+    def __init__(
+        self,
+        *,
+        base_url: str,
+        probe_path: str,
+        log: observability.EventLog | None = None,
+        metrics: observability.Metrics | None = None,
+    ) -> None:
         self._base_url = base_url.rstrip('/')
         self._probe_path = probe_path
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=strict_answers.StrictConnector(
+                log=log, metrics=metrics, limit=0, force_close=True
+            ),
             timeout=aiohttp.ClientTimeout(
                 total=None,
                 sock_connect=_CONNECT_TIMEOUT_S,
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -335,6 +335,12 @@
         'target-turned-away',
         'A target wants no requests from this process for a while.',
     )
+    ANSWER_REFUSED = (
+        516,
+        'answer-refused',
+        'An answer was broken, or did not end, and was not used; its '
+        'connection was closed.',
+    )
     TARGET_LIMITED = (
         513,
         'target-limited',
--- a/src/carobslip/processes/_assembly.py
+++ b/src/carobslip/processes/_assembly.py
@@ -91,6 +91,8 @@
     await web.TCPSite(runner, host, port, backlog=backlog).start()
 
 
-def new_client_session() -> aiohttp.ClientSession:
+def new_client_session(
+    log: observability.EventLog, metrics: observability.Metrics
+) -> aiohttp.ClientSession:
     """Returns a client session for the process's outgoing calls."""
-    return guard_client.new_session()
+    return guard_client.new_session(log=log, metrics=metrics)
--- a/src/carobslip/processes/_entry.py
+++ b/src/carobslip/processes/_entry.py
@@ -51,7 +51,7 @@
         self._clock = clocks.SystemClock()
         self._log = observability.EventLog(instance=own.instance)
         self._metrics = _assembly.new_metrics(own)
-        self._session = _assembly.new_client_session()
+        self._session = _assembly.new_client_session(self._log, self._metrics)
         self._member = _assembly.new_member(
             own,
             _record_of(own),
--- a/src/carobslip/processes/_guard.py
+++ b/src/carobslip/processes/_guard.py
@@ -33,10 +33,12 @@
         self._clock = clocks.SystemClock()
         self._log = observability.EventLog(instance=own.instance)
         self._metrics = _assembly.new_metrics(own)
-        self._session = _assembly.new_client_session()
+        self._session = _assembly.new_client_session(self._log, self._metrics)
         self._target = target_client.HttpTarget(
             base_url=own.target.base_url,
             probe_path=own.probe_path,
+            log=self._log,
+            metrics=self._metrics,
         )
         self._member = _assembly.new_member(
             own,
--- a/tests/standins/open_entry.py
+++ b/tests/standins/open_entry.py
@@ -28,7 +28,7 @@
 EVENTS = 750
 
 
-def _route(name, prefix, kind):
+def _route(name, prefix, kind, **more):
     return {
         'name': name,
         'host': 'host.example',
@@ -38,6 +38,7 @@
         'goal_ms': 500,
         'service': 's1',
         'public': True,
+        **more,
     }
 
 
@@ -46,12 +47,29 @@
     'routes': [
         _route('whole', '/a/', 'idempotent'),
         _route('stream', '/s/', 'stream'),
+        _route('once', '/b/', 'non_idempotent'),
+        _route('again', '/c/', 'idempotent', max_attempts=2),
+        _route('resumed', '/r/', 'stream', max_attempts=2, resumable=True),
     ],
     'services': [{'name': 's1', 'max_conns': 5000}],
     'limits': LIMITS,
 }
 
 
+def _server_at(address):
+    return {
+        'service': 's1',
+        'address': address,
+        'zone': 'east',
+        'version': 'v1',
+        'slots': 5000,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'seq': 1,
+        'born': 1,
+    }
+
+
 class Engine:
     """Answers requests with short, long or streamed answers."""
 
@@ -95,36 +113,37 @@
 
 
 class OpenEntry:
-    """An entry process with the limits of a small instance."""
-
-    def __init__(self, folder: pathlib.Path, *, memory_mb, max_fds):
+    """An entry process with the limits of a small instance.
+
+    ``engines`` are the engines of its service; one that answers everything if
+    none is given. ``bounds`` are the operators' limits.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        memory_mb,
+        max_fds,
+        engines=(),
+        bounds=None,
+    ):
         self._folder = folder
+        self._bounds = bounds or {}
         self._limits = {'memory_mb': memory_mb, 'max_fds': max_fds}
         self.front = launcher.free_address()
         self.directory = launcher.free_address()
         self._ready = launcher.free_address()
         self._control = launcher.free_address()
         self.store = users_store.FakeStore()
-        self.engine = Engine()
+        self.engines = engines or (Engine(),)
 
     async def start(self):
-        await self.engine.start()
         await self.store.start()
         self.store.put('op/config', CONFIGURATION)
-        self.store.put(
-            'servers/i-1',
-            {
-                'service': 's1',
-                'address': self.engine.address,
-                'zone': 'east',
-                'version': 'v1',
-                'slots': 5000,
-                'state': 'ready',
-                'cold_left_ms': 0,
-                'seq': 1,
-                'born': 1,
-            },
-        )
+        for number, engine in enumerate(self.engines, 1):
+            await engine.start()
+            self.store.put(f'servers/i-{number}', _server_at(engine.address))
         settings = self._folder / 'node.yaml'
         settings.write_text(json.dumps(self._settings()))
         self.log = self._folder / 'entry.log'
@@ -150,7 +169,8 @@
         self.process.kill()
         self.process.wait()
         await self.store.stop()
-        await self.engine.stop()
+        for engine in self.engines:
+            await engine.stop()
 
     def peak_mb(self):
         """Returns the largest resident memory so far."""
@@ -196,6 +216,7 @@
             'port_range': [int(port), int(port) + 9],
             'seed_nodes': [self._control],
             'limits': self._limits,
+            'bounds': self._bounds,
             'provider': {'address': self.store.address},
         }
 
