Give up answers that go on without an end

What callers saw: a server that sent interim answers, empty lines, blanks before a value, chunk sizes or chunk extensions without end was read for as long as the time limit of the request allowed. Answers without end after a whole one were queued on the idle connection until it was found idle.

Cause: the client library bounds single lines and fields, and nothing else of what comes before or between bodies. Heads that no request waits for stay in its queue.

Change: a head after the final one closes the connection at once (cause surplus); the answer before it stays whole. A megabyte without a usable head or a byte of a body, the longest head that the parser accepts, ends the connection as well (endless).

--- a/src/carobslip/adapters/answer_heads.py
+++ b/src/carobslip/adapters/answer_heads.py
@@ -31,6 +31,13 @@
     VERSION = 'version'
     FRAMING = 'framing'
     JOINED = 'joined'
+    SURPLUS = 'surplus'
+    ENDLESS = 'endless'
+
+
+def is_interim(message: http_parser.RawResponseMessage) -> bool:
+    """Tells whether another head follows for the same request."""
+    return message.code in _INTERIM
 
 
 def find_fault(message: http_parser.RawResponseMessage) -> AnswerFault | None:
--- a/src/carobslip/adapters/strict_answers.py
+++ b/src/carobslip/adapters/strict_answers.py
@@ -16,6 +16,9 @@
 from carobslip import observability
 from carobslip.adapters import answer_heads
 
+#: Bytes that may arrive without an answer or a part of its body: the longest
+#: head that the library's parser accepts, 128 fields of 8,190 bytes.
+_UNUSED_MAX_BYTES: Final = 1_048_576
 _EXPLANATION_MAX_CHARS: Final = 200
 _COMPILED_PARSER: Final = 'aiohttp._http_parser'
 _STRICT_FLAG: Final = 'DEBUG'
@@ -54,11 +57,30 @@
     ) -> None:
         super().__init__(loop)
         self._on_refused = on_refused
+        self._is_answered = True
         self._is_refused = False
+        self._body_bytes = 0
+        self._unused_bytes = 0
+
+    def set_response_params(self, **named: Any) -> None:
+        """Expects the answer to the request that is sent next."""
+        self._is_answered = False
+        self._unused_bytes = 0
+        super().set_response_params(**named)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes."""
+        """Parses received bytes, unless none of many has been of use."""
+        if self._unused_bytes > _UNUSED_MAX_BYTES:
+            self._refuse(
+                _Fault.ENDLESS, f'{self._unused_bytes} bytes without an answer'
+            )
+            return
+        self._unused_bytes += len(data)
         super().data_received(data)
+        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        if body_bytes != self._body_bytes:
+            self._body_bytes = body_bytes
+            self._unused_bytes = 0
         fault = self.exception()
         if isinstance(fault, http_exceptions.HttpProcessingError):
             self._note_refused(_Fault.SYNTAX, fault.message)
@@ -66,20 +88,31 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queues the head of an answer, with the reader of its body."""
         message = data[0]
-        fault = answer_heads.find_fault(message)
+        fault = self._find_fault(message)
         if fault is not None:
             major, minor = message.version
             self._refuse(fault, f'HTTP/{major}.{minor} {message.code:03}')
         if self._is_refused:
             return
+        self._is_answered = not answer_heads.is_interim(message)
         super().feed_data(data, size)
 
+    def _find_fault(
+        self, message: http_parser.RawResponseMessage
+    ) -> _Fault | None:
+        if self._is_answered:
+            return _Fault.SURPLUS
+        return answer_heads.find_fault(message)
+
     def _refuse(self, fault: _Fault, explanation: str) -> None:
         """Ends the connection; answers that were passed on stay whole."""
         if self._is_refused:
             return
         self._note_refused(fault, explanation)
         text = f'{fault.value}: {explanation}'
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(text))
         self.set_exception(http_exceptions.BadHttpMessage(text))
         if self.transport is not None:
             self.transport.close()
--- a/tests/test_broken_engines.py
+++ b/tests/test_broken_engines.py
@@ -88,6 +88,8 @@
             if path == '/carobslip/report':
                 writer.write(b'HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\n')
                 writer.write(REPORT)
+            elif path.startswith('/a/endless-'):
+                await self._send_endless(writer, ENDLESS[path[11:]])
             else:
                 await reader.readexactly(1000)
                 writer.write(self._engines.answer(path))
@@ -97,6 +99,27 @@
                 await asyncio.sleep(EVENT_S)
         writer.close()
 
+    async def _send_endless(self, writer, parts):
+        opening, more = parts
+        writer.write(opening)
+        while True:
+            writer.write(more)
+            await writer.drain()
+
+
+ENDLESS = {
+    'interim': (b'', b'HTTP/1.1 100 X\r\n\r\n' * 1000),
+    'surplus': (SOUND, b'HTTP/1.1 204 X\r\n\r\n' * 1000),
+    'fields': (b'HTTP/1.1 200 X\r\n', b'X-More: y\r\n' * 1000),
+    'extension': (
+        b'HTTP/1.1 200 X\r\n'
+        + SEAL
+        + b'Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n1;a=',
+        b'y' * 60_000,
+    ),
+    'body': (b'HTTP/1.1 200 X\r\n' + SEAL + b'\r\n', b'y' * 60_000),
+}
+
 
 @pytest.fixture
 async def running():
@@ -180,3 +203,26 @@
         assert not body.endswith(b'0\r\n\r\n'), name
         assert engines.paths.count(f'/r/{name}') == 2
         await clear_failures(entry, engines)
+
+
+async def test_answers_without_an_end_do_not_fill_the_memory(running):
+    entry, _engines = running
+    endless = {
+        name: [
+            asyncio.ensure_future(ask(entry, f'/a/endless-{name}'))
+            for _number in range(4)
+        ]
+        for name in ENDLESS
+    }
+    answer = await ask(entry, '/a/x')
+    # Bodies wait for memory until the time limit of their route.
+    bodies = endless.pop('body')
+    for asked in endless.values():
+        await asyncio.gather(*asked)
+    assert answer.endswith(b'ab')
+    assert (await ask(entry, '/a/x')).endswith(b'ab')
+    assert entry.process.poll() is None
+    assert entry.peak_mb() < MEMORY_MB
+    for asked in bodies:
+        asked.cancel()
+    await asyncio.gather(*bodies, return_exceptions=True)
