Bound whole bodies of answers in bytes

What callers saw: nothing yet. An engine whose report or counts went on without an end was read into memory for the whole timeout, up to gigabytes on a fast link; the same held for the platform's store, whose timeout is seconds.

Cause: these readers took whole bodies with the library's read(), which knows no length; only time bounded them.

Change: whole_bodies.read_whole() ends the connection above a length: a megabyte for reports, counts and documents, 16 for answers of the store, of which a page has one. A body that is too long counts as a lost answer. The client of the configuration service had a bound of its own and uses the same one.

The fake of the restorable store has the reader of a body instead of read(), with the same content.

--- a/src/carobslip/adapters/platform_client.py
+++ b/src/carobslip/adapters/platform_client.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from carobslip import decoding, directory, fleet, settings
+from carobslip.adapters import whole_bodies
 
 _RESPONSE_TIMEOUT_S: Final = 2.0
-_DOCUMENT_MAX_BYTES: Final = 1_048_576
 
 _list_decoder: Final = msgspec.json.Decoder(directory.InstanceList)
 
@@ -90,16 +90,7 @@
         return None
     if response.status != 200:
         raise fleet.PlatformUnavailable(f'status {response.status}')
-    content = await response.content.read(_DOCUMENT_MAX_BYTES + 1)
-    while len(content) <= _DOCUMENT_MAX_BYTES:
-        more = await response.content.read(_DOCUMENT_MAX_BYTES + 1)
-        if not more:
-            break
-        content += more
-    if len(content) > _DOCUMENT_MAX_BYTES:
-        raise fleet.PlatformUnavailable(
-            'the document is longer than a megabyte'
-        )
+    content = await whole_bodies.read_whole(response)
     try:
         return content.decode()
     except UnicodeDecodeError as fault:
--- a/tests/fakes/restorable_store.py
+++ b/tests/fakes/restorable_store.py
@@ -148,10 +148,15 @@
     def __init__(self, headers, content):
         self.status = 410 if content is None else 200
         self.headers = headers
-        self._content = _encode(content)
+        self.content = _Body(_encode(content))
 
-    async def read(self):
-        return self._content
+
+class _Body:
+    def __init__(self, content):
+        self._content = content
+
+    async def iter_any(self):
+        yield self._content
 
 
 def _encode(content):
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -45,6 +45,8 @@
     'trailers': (FIRST_CHUNK + b'0\r\n', b'X-More: y\r\n' * 100),
     'trailer': (FIRST_CHUNK + b'0\r\nX-More: ', PART),
 }
+#: Readers of a whole body, which is otherwise passed on as it arrives.
+WHOLE = ('start', 'report', 'counts', 'store', 'platform')
 #: Bytes that are no part of a body, for any reader.
 NO_BODY = ('chunk size', 'chunk extension', 'trailers', 'trailer')
 
@@ -76,6 +78,22 @@
     assert sent_bytes < SENT_MAX_BYTES
 
 
+@pytest.mark.usefixtures('parser')
+@pytest.mark.parametrize('name', ENDLESS_BODIES)
+@pytest.mark.parametrize('reader', WHOLE)
+async def test_whole_body_without_an_end_is_given_up_within_a_bound(
+    name, reader
+):
+    opening, more = ENDLESS_BODIES[name]
+    head = broken.head_of(READERS[reader])
+    async with asyncio.timeout(20):
+        is_used, sent_bytes = await send_endless(
+            READERS[reader], head + opening, more
+        )
+    assert not is_used
+    assert sent_bytes < SENT_MAX_BYTES
+
+
 @pytest.mark.usefixtures('parser')
 @pytest.mark.parametrize('name', NO_BODY)
 @pytest.mark.parametrize('reader', ['single', 'kept', 'stream', 'target'])
