Count any use of a broken answer, not only of its whole body

The readers of the tests told whether they got the body of a sound answer, so that an answer in an unknown transfer coding, whose framing became part of its body, counted as not used. They return what they made of an answer now, and a broken one must give nothing at all.

--- a/tests/fakes/answer_readers.py
+++ b/tests/fakes/answer_readers.py
@@ -1,6 +1,7 @@
 """Every way in which answers are read, with a sound answer to each.
 
-A reader sends one request to an engine and tells whether it used the answer.
+A reader sends one request to an engine and returns what it made of the answer, or
+None if it did not use it.
 """
 
 import contextlib
@@ -52,29 +53,33 @@
     permit_until_ms=1000,
     deadline_ms=1000,
 )
-FRAMES = attempts.encode_frame(
-    attempts.Broken(
-        request_id=ATTEMPT.request_id,
-        outcome=verdicts.ran(),
-    )
-)
+FRAME = attempts.Broken(request_id=ATTEMPT.request_id, outcome=verdicts.ran())
 
 
 class Reader:
     """One way of reading: a sound answer, and how it is asked for.
 
     Args:
-        ask: Called with an address; returns whether the answer was used.
-        body: Body of a sound answer.
+        ask: Called with an address.
+        expected: What it returns for a sound answer.
+        body: Body of that answer.
         fields: Fields of its head.
         status: Its status line, without the version.
         kept: Sound answers on the same connection before.
     """
 
     def __init__(
-        self, ask, *, body=b'ab', fields=OWN, status=b'200 OK', kept=0
+        self,
+        ask,
+        *,
+        expected=True,
+        body=b'ab',
+        fields=OWN,
+        status=b'200 OK',
+        kept=0,
     ):
         self.ask = ask
+        self.expected = expected
         self.body = body
         self.fields = fields
         self.status = status
@@ -102,35 +107,35 @@
     call = _call(address, may_reuse_connection=False)
     async with _closing(engine_calls.EngineCalls()) as calls:
         try:
-            return await _use(calls, call) == b'ab'
+            return await _use(calls, call)
         except guard.TargetLost:
-            return False
+            return None
 
 
 async def ask_kept(address):
     async with _closing(engine_calls.EngineCalls()) as calls:
         assert await _use(calls, _call(address)) == b'ab'
         try:
-            return await _use(calls, _call(address)) == b'ab'
+            return await _use(calls, _call(address))
         except guard.TargetLost:
-            return False
+            return None
 
 
 async def ask_stream(address):
     async with _closing(engine_calls.EngineCalls()) as calls:
         try:
-            return await _use(calls, _call(address)) == EVENTS
+            return await _use(calls, _call(address))
         except guard.TargetLost:
-            return False
+            return None
 
 
 async def ask_resumed(address):
     call = _call(address, last_event='0')
     async with _closing(engine_calls.EngineCalls()) as calls:
         try:
-            return await _use(calls, call) == EVENTS
+            return await _use(calls, call)
         except guard.TargetLost:
-            return False
+            return None
 
 
 async def ask_refusal(address):
@@ -139,14 +144,14 @@
             async with calls.call(_call(address)) as answer:
                 return answer.has_not_run
         except guard.TargetLost:
-            return False
+            return None
 
 
 async def ask_start(address):
     """Reads the start of an engine, which is not that of its record."""
     record = fakes.record('i-1', 's1', address=address, started_wall_ms=2)
     async with _closing(engine_calls.EngineCalls()) as calls:
-        return await calls.is_gone(record)
+        return await calls.is_gone(record) or None
 
 
 def _control(session, address):
@@ -160,15 +165,15 @@
         try:
             return (await _control(session, address).report()).is_open
         except expertmap.EngineUnavailable:
-            return False
+            return None
 
 
 async def ask_counts(address):
     async with _closing(connections.new_session(idle_s=5)) as session:
         try:
-            return (await _control(session, address).counts()).epoch == 1
+            return (await _control(session, address).counts()).epoch
         except expertmap.EngineUnavailable:
-            return False
+            return None
 
 
 async def ask_order(address):
@@ -176,7 +181,7 @@
         end = await _control(session, address).order(ORDER)
         # An order without an answer may have been accepted.
         assert end in {expertmap.OrderEnd.DONE, expertmap.OrderEnd.LOST}
-        return end is expertmap.OrderEnd.DONE
+        return end if end is expertmap.OrderEnd.DONE else None
 
 
 async def ask_store(address):
@@ -190,8 +195,8 @@
         try:
             answer = await client.read('op/', cause=store.ReadCause.START)
         except store.StoreUnavailable:
-            return False
-        return answer.revision == 1
+            return None
+        return answer.revision
 
 
 async def ask_platform(address):
@@ -206,8 +211,8 @@
         try:
             read = await client.read_configuration(0, 20_000)
         except fleet.PlatformUnavailable:
-            return False
-        return read.text == 'ab'
+            return None
+        return read.text
 
 
 async def ask_target(address):
@@ -227,9 +232,9 @@
     )
     async with _closing(target):
         try:
-            return await _use(target, call) == b'ab'
+            return await _use(target, call)
         except guard.TargetLost:
-            return False
+            return None
 
 
 async def ask_probe(address):
@@ -237,7 +242,7 @@
         base_url=f'http://{address}', probe_path='/health'
     )
     async with _closing(target):
-        return await target.is_up()
+        return await target.is_up() or None
 
 
 async def ask_guard(address):
@@ -246,29 +251,43 @@
         client = guard_client.HttpGuardClient(session=session)
         try:
             async with client.open(address, ATTEMPT, b'') as reader:
-                return isinstance(await reader.read(), attempts.Broken)
+                return await reader.read()
         except entry.GuardLost:
-            return False
+            return None
 
 
 JSON = (b'Content-Type: application/json',)
 EVENT_STREAM = (*OWN, b'Content-Type: text/event-stream')
 
 READERS = {
-    'single': Reader(ask_single),
-    'kept': Reader(ask_kept, kept=1),
-    'stream': Reader(ask_stream, body=EVENTS, fields=EVENT_STREAM),
-    'resumed': Reader(ask_resumed, body=EVENTS, fields=EVENT_STREAM),
+    'single': Reader(ask_single, expected=b'ab'),
+    'kept': Reader(ask_kept, expected=b'ab', kept=1),
+    'stream': Reader(
+        ask_stream, expected=EVENTS, body=EVENTS, fields=EVENT_STREAM
+    ),
+    'resumed': Reader(
+        ask_resumed, expected=EVENTS, body=EVENTS, fields=EVENT_STREAM
+    ),
     'refusal': Reader(
         ask_refusal, status=b'503 X', fields=(*OWN, b'X-Not-Executed: 1')
     ),
     'start': Reader(ask_start, body=REPORT, fields=JSON),
     'report': Reader(ask_report, body=REPORT, fields=JSON),
-    'counts': Reader(ask_counts, body=COUNTS, fields=JSON),
-    'order': Reader(ask_order, status=b'202 X', fields=JSON),
-    'store': Reader(ask_store, body=RANGE, fields=JSON),
-    'platform': Reader(ask_platform),
-    'target': Reader(ask_target),
+    'counts': Reader(ask_counts, expected=1, body=COUNTS, fields=JSON),
+    'order': Reader(
+        ask_order,
+        expected=expertmap.OrderEnd.DONE,
+        status=b'202 X',
+        fields=JSON,
+    ),
+    'store': Reader(ask_store, expected=1, body=RANGE, fields=JSON),
+    'platform': Reader(ask_platform, expected='ab'),
+    'target': Reader(ask_target, expected=b'ab'),
     'probe': Reader(ask_probe),
-    'guard': Reader(ask_guard, body=FRAMES, fields=()),
+    'guard': Reader(
+        ask_guard,
+        expected=FRAME,
+        body=attempts.encode_frame(FRAME),
+        fields=(),
+    ),
 }
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -263,15 +263,16 @@
 }
 
 
-async def use_each(reader, cases):
-    """Returns the names of the cases that a reader used."""
-    used = []
+async def ask_each(reader, cases):
+    """Returns what a reader made of each case that it used."""
+    used = {}
     engine = raw_engine.RawEngine()
     address = await engine.start()
     for name, case in cases.items():
         engine.script = [answer_with()(reader)] * reader.kept + [case(reader)]
-        if await reader.ask(address):
-            used.append(name)
+        result = await reader.ask(address)
+        if result is not None:
+            used[name] = result
     engine.stop()
     return used
 
@@ -292,10 +293,12 @@
         cases = {
             case: cases[case] for case in cases if not case.startswith(BODIES)
         }
-    assert await use_each(READERS[name], cases) == []
+    assert await ask_each(READERS[name], cases) == {}
 
 
 @pytest.mark.usefixtures('parser')
 @pytest.mark.parametrize('name', READERS)
 async def test_sound_answer_is_used(name):
-    assert await use_each(READERS[name], SOUND) == list(SOUND)
+    reader = READERS[name]
+    used = await ask_each(reader, SOUND)
+    assert used == dict.fromkeys(SOUND, reader.expected)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -52,16 +52,16 @@
 
 
 async def send_endless(reader, opening, more):
-    """Returns whether a reader used an endless answer, and what was sent."""
+    """Returns what a reader made of an endless answer, and what was sent."""
     engine = raw_engine.RawEngine()
     address = await engine.start()
     sound = broken.SOUND['plain'](reader)
     engine.script = [sound] * reader.kept + [opening]
     engine.endless = more
-    is_used = await reader.ask(address)
+    used = await reader.ask(address)
     await engine.closed.wait()
     engine.stop()
-    return is_used, engine.sent_bytes
+    return used, engine.sent_bytes
 
 
 parser = broken.parser
@@ -73,8 +73,8 @@
 async def test_head_without_an_end_is_given_up_within_a_bound(name, reader):
     opening, more = ENDLESS_HEADS[name]
     async with asyncio.timeout(20):
-        is_used, sent_bytes = await send_endless(READERS[reader], opening, more)
-    assert not is_used
+        used, sent_bytes = await send_endless(READERS[reader], opening, more)
+    assert used is None
     assert sent_bytes < SENT_MAX_BYTES
 
 
@@ -87,10 +87,10 @@
     opening, more = ENDLESS_BODIES[name]
     head = broken.head_of(READERS[reader])
     async with asyncio.timeout(20):
-        is_used, sent_bytes = await send_endless(
+        used, sent_bytes = await send_endless(
             READERS[reader], head + opening, more
         )
-    assert not is_used
+    assert used is None
     assert sent_bytes < SENT_MAX_BYTES
 
 
@@ -101,10 +101,10 @@
     opening, more = ENDLESS_BODIES[name]
     head = broken.head_of(READERS[reader])
     async with asyncio.timeout(20):
-        is_used, sent_bytes = await send_endless(
+        used, sent_bytes = await send_endless(
             READERS[reader], head + opening, more
         )
-    assert not is_used
+    assert used is None
     assert sent_bytes < SENT_MAX_BYTES
 
 
