--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -4,10 +4,15 @@
 library's parser. A broken answer counts as lost; a sound one is used.
 """
 
+import contextlib
+
+import aiohttp
 import pytest
 from aiohttp import client_proto, http_parser
+from users_platform import connections
 
-from tests.fakes import answer_readers
+from carobslip import observability
+from tests.fakes import answer_readers, cluster
 from tests.standins import raw_engine
 
 READERS = answer_readers.READERS
@@ -328,3 +333,36 @@
     reader = READERS[name]
     used = await ask_each(reader, SOUND)
     assert used == dict.fromkeys(SOUND, reader.expected)
+
+
+# cause: an answer that is refused for it
+CAUSES = {
+    'syntax': answer_with(b'X\x01More: y'),
+    'status': answer_with(status=b'000 X'),
+    'version': answer_with(version=b'HTTP/2.0'),
+    'framing': answer_framed(in_chunks, coding=b'gzip'),
+    'joined': answer_with(status=b'200 HTTP/1.1 500 X'),
+    'surplus': lambda reader: answer_with()(reader) * 2,
+    'endless': lambda reader: b'\r\n' * 2**20,
+}
+
+
+@pytest.mark.parametrize('cause', CAUSES)
+async def test_cause_of_a_refused_answer_is_logged_and_counted(cause):
+    book = observability.MetricsBook()
+    log = cluster.RecordingLog()
+    engine = raw_engine.RawEngine()
+    engine.script = [CAUSES[cause](READERS['single'])]
+    address = await engine.start()
+    async with connections.new_session(
+        idle_s=None, log=log, metrics=book
+    ) as session:
+        with contextlib.suppress(aiohttp.ClientError):
+            async with session.get(f'http://{address}/'):
+                pass
+    engine.stop()
+    ((event, fields),) = log.events
+    assert event is observability.Event.ANSWER_REFUSED
+    assert fields['cause'] == cause
+    assert fields['address'] == address
+    assert f'carobslip_answers_refused_{cause}_total 1' in book.text()
