Exceed the memory for answers only when all of them wait for each other

An answer exceeds the budget now only if every other answer in progress waits, and if the bytes of requests in progress alone leave no room. Unread answers are given up as before.

--- a/src/carobslip/callerlimits/_budget.py
+++ b/src/carobslip/callerlimits/_budget.py
@@ -37,7 +37,14 @@
         release: Frees the bytes; called when others need them.
     """
 
-    __slots__ = ('_budget', '_release', 'progress_s', 'size_bytes', 'use')
+    __slots__ = (
+        '_budget',
+        '_release',
+        'is_waiting',
+        'progress_s',
+        'size_bytes',
+        'use',
+    )
 
     def __init__(
         self,
@@ -51,6 +58,8 @@
         self.use = use
         self.size_bytes = 0
         self.progress_s = 0.0
+        #: Whether an answer waits for more; None if it is no answer in progress.
+        self.is_waiting: bool | None = None
 
     def resize(self, size_bytes: int) -> bool:
         """Holds this many bytes; returns False, unchanged, if they are short."""
@@ -60,9 +69,10 @@
         """Holds this many bytes, also above the budget, until it is trimmed."""
         self._budget.resize(self, size_bytes, is_forced=True)
 
-    def borrow(self, size_bytes: int) -> bool:
-        """Holds this many bytes if no other holding exceeds the budget."""
-        return self._budget.lend(self, size_bytes)
+    def grow(self, size_bytes: int) -> bool:
+        """Holds this many bytes of an answer; False if it has to wait."""
+        self.is_waiting = not self._budget.grow(self, size_bytes)
+        return not self.is_waiting
 
     def clear(self) -> None:
         """Holds nothing any more."""
@@ -102,7 +112,6 @@
         self._now_s = now_s
         self._on_short = on_short
         self._holdings: set[Holding] = set()
-        self._borrower: Holding | None = None
 
     def open(
         self, use: Use, release: Callable[[], None] | None = None
@@ -129,18 +138,24 @@
             self._holdings.discard(holding)
         return True
 
-    def lend(self, holding: Holding, size_bytes: int) -> bool:
-        """Lets one holding at a time grow above the budget.
+    def grow(self, holding: Holding, size_bytes: int) -> bool:
+        """Changes the holding of an answer, also above the budget if need be.
 
-        Requests that wait for bytes held by each other would never end
-        otherwise.
+        Answers of unknown length would otherwise wait for bytes that are held
+        by each other, and never end.
         """
-        borrower = self._borrower or holding
-        if borrower is not holding and borrower.size_bytes:
+        is_held = self.resize(holding, size_bytes)
+        if not is_held and self._is_deadlocked(holding, size_bytes):
+            is_held = self.resize(holding, size_bytes, is_forced=True)
+        return is_held
+
+    def _is_deadlocked(self, holding: Holding, size_bytes: int) -> bool:
+        """Tells whether all answers in progress wait for each other's bytes."""
+        kept = [one for one in self._holdings if not one.is_evictable]
+        if any(one.is_waiting is False for one in kept if one is not holding):
             return False
-        self._borrower = holding
-        holding.force(size_bytes)
-        return True
+        others_bytes = sum(one.size_bytes for one in kept) - holding.size_bytes
+        return others_bytes + size_bytes > self.bytes_max * _LARGE_SHARE
 
     def trim(self) -> None:
         """Takes bytes from holders without progress while there are too many."""
--- a/tests/test_caller_input.py
+++ b/tests/test_caller_input.py
@@ -391,13 +391,21 @@
         bytes_max=400_000, now_s=lambda: 0.0, on_short=lambda _what: None
     )
     first, second = (budget.open(callerlimits.Use.REQUEST) for _ in range(2))
-    assert first.resize(150_000)
-    assert second.resize(150_000)
-    assert not first.resize(200_000)
-    assert first.borrow(200_000)
-    assert first.borrow(250_000)
-    assert not second.borrow(200_000)
-    first.clear()
-    assert second.borrow(200_000)
+    assert first.grow(150_000)
+    assert second.grow(150_000)
+    # The second one may still end by itself.
+    assert not first.grow(200_000)
+    assert second.grow(250_000)
+    assert not first.grow(200_000)
     second.clear()
-    assert budget.used_bytes == 0
+    assert first.grow(200_000)
+
+
+def test_unread_answers_use_more_than_the_memory():
+    budget = callerlimits.ByteBudget(
+        bytes_max=400_000, now_s=lambda: 0.0, on_short=lambda _what: None
+    )
+    unread = budget.open(callerlimits.Use.ANSWER, lambda: None)
+    unread.force(250_000)
+    assert not budget.open(callerlimits.Use.REQUEST).grow(100_000)
+    assert budget.used_bytes == 250_000
