Read the configuration where watchers cannot show what is published

Cause: entries that do not watch relied on watchers that were alive. That says nothing about what they have read. Now an entry asks the watchers, and then the two entries after them, when its own knowledge has an age that follows from config_apply_ms, and reads for itself if none can show younger knowledge. Messages already carried that age; it counts from when a read was sent.

A watch that waited without a change confirms the configuration as of its end.

--- a/src/carobslip/configuration/_holder.py
+++ b/src/carobslip/configuration/_holder.py
@@ -48,6 +48,7 @@
         self._resolver: _resolver.Resolver | None = None
         self._refused: tuple[_order.DocumentOrder, Adoption] | None = None
         self._confirmed_ms = clock.now_ms() - _UNCONFIRMED_AGE_MS
+        self._announced = (0, 0), self._confirmed_ms
         self._withdrawn = _withdrawn.WithdrawnDataCentres(clock=clock)
         self.order = _order.DocumentOrder()
         self.text = ''
@@ -86,6 +87,20 @@
         """Records that the held document was the newest at ``as_of_ms``."""
         self._confirmed_ms = max(self._confirmed_ms, as_of_ms)
 
+    def confirm_document(
+        self, document_id: tuple[int, int], as_of_ms: float
+    ) -> None:
+        """Records when a peer knew a document to be the newest one.
+
+        Args:
+            document_id: Identifies the document, which need not be held yet.
+            as_of_ms: When it was known to be the newest one.
+        """
+        if document_id == self.order.document_id:
+            self.confirm(as_of_ms)
+        else:
+            self._announced = document_id, as_of_ms
+
     def note_order(self, order: _order.DocumentOrder) -> None:
         """Raises the order of the held document if it was published again."""
         is_held = order.document_id == self.order.document_id
@@ -163,5 +178,7 @@
             clock=self.clock,
         )
         self.last_fault = ''
+        if self._announced[0] == order.document_id:
+            self.confirm(self._announced[1])
         if self._on_adopted is not None:
             self._on_adopted(offered)
--- a/src/carobslip/control/_fetcher.py
+++ b/src/carobslip/control/_fetcher.py
@@ -75,14 +75,19 @@
         if self._transfer is None or self._transfer.done():
             self._transfer = asyncio.ensure_future(self._fetch_all())
 
-    async def finish(self) -> None:
+    async def finish(self, timeout_ms: float) -> None:
         """Waits until the highest announced version is held or cannot be fetched.
 
         Versions that are announced during the wait are not waited for.
+
+        Args:
+            timeout_ms: Longest wait.
         """
         wanted = max(self._ahead.values(), default=self._holder.order)
+        until_ms = self._holder.clock.now_ms() + timeout_ms
         while self._transfer is not None and not self._transfer.done():
-            if self._holder.order >= wanted:
+            is_held = self._holder.order >= wanted
+            if is_held or self._holder.clock.now_ms() >= until_ms:
                 return
             await asyncio.wait([self._transfer], timeout=_POLL_S)
 
--- a/src/carobslip/control/_node.py
+++ b/src/carobslip/control/_node.py
@@ -136,18 +136,31 @@
             raise _port.PeerUnreachable(f'answered {envelope.message!r}')
         return envelope.message
 
-    async def synchronize_with(self, address: str) -> None:
-        """Compares versions with a peer and fetches a newer configuration."""
+    async def synchronize_with(
+        self,
+        address: str,
+        *,
+        timeout_ms: float = _COMPARE_TIMEOUT_MS,
+        fetch_timeout_ms: float = math.inf,
+    ) -> None:
+        """Compares versions with a peer and fetches a newer configuration.
+
+        Args:
+            address: Control address of the peer.
+            timeout_ms: How long to wait for its answer.
+            fetch_timeout_ms: How long to wait for the document; a transfer
+                that takes longer goes on.
+        """
         try:
             await self.ask(
                 address,
                 _messages.CompareVersions(),
                 answer=_messages.Noted,
-                timeout_ms=_COMPARE_TIMEOUT_MS,
+                timeout_ms=timeout_ms,
             )
         except _port.PeerUnreachable:
             return
-        await self._fetcher.finish()
+        await self._fetcher.finish(fetch_timeout_ms)
 
     async def _call(
         self,
@@ -243,9 +256,10 @@
     ) -> None:
         # The answer was written after the request was sent, so subtracting the
         # age from the send time is safe however long the answer took to arrive.
-        peer_order = envelope.configuration_order
-        if peer_order.document_id == self.holder.order.document_id:
-            self.holder.confirm(sent_ms - envelope.configuration_age_ms)
+        self.holder.confirm_document(
+            envelope.configuration_order.document_id,
+            sent_ms - envelope.configuration_age_ms,
+        )
 
     async def _ask_part(
         self,
--- a/src/carobslip/fleet/__init__.py
+++ b/src/carobslip/fleet/__init__.py
@@ -8,7 +8,8 @@
     PlatformUnavailable,
     PublishedDocument,
 )
-from carobslip.fleet._watchers import is_watcher
+from carobslip.fleet._read_times import ReadTimes
+from carobslip.fleet._watchers import is_watcher, rank_readers
 
 __all__ = [
     'FleetMember',
@@ -18,5 +19,7 @@
     'Platform',
     'PlatformUnavailable',
     'PublishedDocument',
+    'ReadTimes',
     'is_watcher',
+    'rank_readers',
 ]
--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -17,19 +17,21 @@
     observability,
     tasks,
 )
-from carobslip.fleet import _pause_detector, _platform_port, _watchers
+from carobslip.fleet import (
+    _configuration_follower,
+    _configuration_reader,
+    _pause_detector,
+    _platform_port,
+    _read_times,
+    _watchers,
+)
 
 _START_PEERS: Final = 3
 _START_PAUSE_S: Final = 0.2
 _START_POLL_S: Final = 0.01
-_RETRY_S: Final = 0.5
 _STANDBY_PERIODS: Final = 20
 #: Interval at which the bytes of control messages are logged.
 _TRAFFIC_LOG_S: Final = 5.0
-_NEWEST: Final = (
-    configuration.Adoption.ADOPTED,
-    configuration.Adoption.SAME,
-)
 
 
 class FleetTimes(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,6 +40,8 @@
     Attributes:
         poll_ms: Time between two reads of the instance list by a watcher.
         watch_ms: How long the service may hold a watch request open.
+        apply_ms: Time within which a published configuration must be in
+            force; it bounds ``watch_ms``.
         reader_roles: Roles that read the platform.
         lists_instances: The platform lists the system's own instances;
             where it does not, members are found through the seeds.
@@ -48,6 +52,7 @@
 
     poll_ms: int = 1000
     watch_ms: int = 10_000
+    apply_ms: float = 40_000
     reader_roles: frozenset[directory.Role] = frozenset(directory.Role)
     lists_instances: bool = True
     probing: membership.ProberSettings = membership.ProberSettings()
@@ -94,8 +99,6 @@
         self._times = times or FleetTimes()
         self._supervisor = tasks.Supervisor(log=log, metrics=metrics)
         self._has_joined = False
-        self._platform_answered = False
-        self._not_adopted: tuple[int, int] | None = None
         self._is_started = False
         self._is_prepared = False
         self.on_configuration: Callable[[], None] = _do_nothing
@@ -137,6 +140,24 @@
             generator=generator,
             seeds=() if self._times.lists_instances else seeds,
         )
+        self._reader = _configuration_reader.ConfigurationReader(
+            platform=platform,
+            holder=self.holder,
+            clock=clock,
+            log=log,
+        )
+        self._follower = _configuration_follower.ConfigurationFollower(
+            own=record.instance,
+            readers=self._readers_of_data_centre,
+            reader=self._reader,
+            node=self.node,
+            times=_read_times.ReadTimes.derive(
+                watch_ms=self._times.watch_ms, apply_ms=self._times.apply_ms
+            ),
+            generator=generator,
+            log=log,
+            metrics=metrics,
+        )
         self.pause_detector = _pause_detector.PauseDetector(
             clock=clock,
             on_pause=self._note_pause,
@@ -160,6 +181,7 @@
         await self.prepare()
         if not self._has_joined:
             self._has_joined = True
+            self._reader.note_joined()
             self._start_tasks()
         await self._prober.join()
         await self._prober.push()
@@ -194,7 +216,7 @@
         peers = self._peer_addresses()
         chosen = self._random.sample(peers, min(_START_PEERS, len(peers)))
         await asyncio.gather(
-            *([self._read_service(wait_ms=0)] if self._reads_platform else []),
+            *([self._reader.read(wait_ms=0)] if self._reads_platform else []),
             *(self.node.synchronize_with(address) for address in chosen),
         )
 
@@ -204,7 +226,7 @@
         # Stops waiting once the platform answers. Requests to peers continue in
         # the background, and a higher version is adopted when it arrives.
         refresh = self._supervisor.run_once(self.refresh())
-        while not refresh.done() and not self._platform_answered:
+        while not refresh.done() and not self._reader.platform_answered:
             await asyncio.wait([refresh], timeout=_START_POLL_S)
         return self.holder.version > 0
 
@@ -222,93 +244,18 @@
         listed.discard(self.record.control_address)
         return sorted(listed)
 
-    async def _watch_configuration(self) -> None:
-        while True:
-            wait_ms = self._times.watch_ms
-            if self._is_watcher():
-                if not await self._read_service(wait_ms=wait_ms):
-                    await asyncio.sleep(_RETRY_S)
-                continue
-            standby_s = wait_ms * self._random.uniform(1, 3) / 1000
-            await self._wait_as_standby(standby_s)
-
-    async def _wait_as_standby(self, duration_s: float) -> None:
-        # The watchers may have died; their successors must take over soon.
-        while duration_s > 0 and not self._is_watcher():
-            await asyncio.sleep(_RETRY_S)
-            duration_s -= _RETRY_S
-        if duration_s <= 0:
-            await self._read_service(wait_ms=0)
-
-    def _is_watcher(self) -> bool:
+    def _readers_of_data_centre(self) -> list[directory.InstanceRecord]:
         usable = [
-            record
-            for record in self.fleet.instances()
-            if self.table.is_usable(record.instance)
-            and record.role in self._times.reader_roles
+            member
+            for member in self.fleet.instances()
+            if self.table.is_usable(member.instance)
+            and member.role in self._times.reader_roles
         ]
-        return _watchers.is_watcher(self.record, usable)
+        return _watchers.rank_readers(self.record, usable)
 
-    async def _read_service(self, *, wait_ms: int) -> bool:
-        """Reads the configuration; tells whether to ask again at once."""
-        asked_ms = self.clock.now_ms()
-        try:
-            published = await self._platform.read_configuration(
-                self.holder.version,
-                wait_ms,
-            )
-        except _platform_port.PlatformUnavailable as fault:
-            self._note_platform_unavailable(
-                observability.Event.CONFIGURATION_UNAVAILABLE,
-                str(fault),
-            )
-            return False
-        self._note_platform_reached()
-        if published is _platform_port.NoDocument.UNUSABLE:
-            return False
-        if published is _platform_port.NoDocument.UNCHANGED:
-            self.holder.confirm(asked_ms)
-        elif self._offer(published, asked_ms):
-            return True
-        # A service that answers without waiting has nothing new to tell;
-        # asking it again without a pause would flood it.
-        return self.clock.now_ms() - asked_ms >= _RETRY_S * 1000
-
-    def _offer(
-        self, published: _platform_port.PublishedDocument, asked_ms: float
-    ) -> bool:
-        """Offers what the service holds; tells whether it was adopted."""
-        adoption = self.holder.offer(
-            published.text,
-            source='configuration service',
-            era=published.era,
-            revision=published.revision,
-        )
-        if adoption in _NEWEST:
-            if published.is_settled:
-                self.holder.confirm(asked_ms)
-        else:
-            self._note_not_adopted(published, adoption)
-        return adoption is configuration.Adoption.ADOPTED
-
-    def _note_not_adopted(
-        self,
-        published: _platform_port.PublishedDocument,
-        adoption: configuration.Adoption,
-    ) -> None:
-        offered = published.era, published.revision
-        if offered == self._not_adopted:
-            return
-        self._not_adopted = offered
-        is_invalid = adoption is configuration.Adoption.INVALID
-        self.log.write(
-            observability.Event.CONFIGURATION_REFUSED
-            if is_invalid
-            else observability.Event.CONFIGURATION_NOT_ADOPTED,
-            fault=self.holder.last_fault,
-            era=published.era,
-            revision=published.revision,
-            unconfirmed_ms=round(self.holder.age_ms()),
+    def _is_watcher(self) -> bool:
+        return _watchers.is_watcher(
+            self.record.instance, self._readers_of_data_centre()
         )
 
     async def _poll_list(self) -> None:
@@ -323,7 +270,7 @@
         try:
             records = await self._platform.read_instances()
         except _platform_port.PlatformUnavailable as fault:
-            self._note_platform_unavailable(
+            self._reader.note_unavailable(
                 observability.Event.LIST_UNAVAILABLE,
                 str(fault),
             )
@@ -386,21 +333,6 @@
         self.fleet.add(update.record)
         self.on_members()
 
-    def _note_platform_unavailable(
-        self, event: observability.Event, fault: str
-    ) -> None:
-        if self._platform_answered or not self._has_joined:
-            self.log.write(event, fault=fault)
-        self._platform_answered = False
-
-    def _note_platform_reached(self) -> None:
-        if not self._platform_answered:
-            self.log.write(
-                observability.Event.PLATFORM_REACHED,
-                version=self.holder.version,
-            )
-        self._platform_answered = True
-
     async def _note_pause(self, pause_ms: float) -> None:
         self.log.write(
             observability.Event.PAUSE_NOTICED,
@@ -421,7 +353,7 @@
         run = self._supervisor.keep_running
         run(self._prober.run)
         if self._reads_platform:
-            run(self._watch_configuration)
+            run(self._follower.run)
         if self._times.lists_instances:
             run(self._poll_list)
         run(self.pause_detector.run)
--- a/src/carobslip/fleet/_platform_port.py
+++ b/src/carobslip/fleet/_platform_port.py
@@ -21,12 +21,15 @@
         revision: The platform's revision of the document within that era.
         is_settled: The platform has what it had acknowledged before it was
             last restored. Until then the document may be an older one.
+        as_of_ms: Monotonic time at which the platform is known to have held
+            this document; None if only the time of the call is known.
     """
 
     text: str
     era: int = 0
     revision: int = 0
     is_settled: bool = True
+    as_of_ms: float | None = None
 
 
 class NoDocument(enum.Enum):
--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -110,6 +110,12 @@
         'An answer of the platform was not used: it comes from before the last '
         'restore, or does not tell whether it does.',
     )
+    CONFIGURATION_SOURCE_CHANGED = (
+        214,
+        'configuration-source-changed',
+        'This process reads the configuration itself, because no watcher could '
+        'tell what is published now, or learns it from watchers again.',
+    )
     MEMBER_CHANGED = (
         301,
         'member-changed',
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -58,6 +58,8 @@
         seeds: Control addresses of peers used to discover the fleet.
         rules: The operators' limits on forwarding.
         repeats: The operators' limit on retries.
+        apply_ms: Time within which a published configuration must be in
+            force.
         accept_ms: New requests are accepted this long after a stop began.
         stop_min_ms: Shortest duration of a stop, since callers cache
             addresses for a while.
@@ -72,6 +74,7 @@
     seeds: tuple[str, ...] = ()
     rules: forwarding.ForwardingRules = forwarding.ForwardingRules()
     repeats: forwarding.RepeatBounds = forwarding.RepeatBounds()
+    apply_ms: float = 2000
     accept_ms: float = 2500
     stop_min_ms: float = 6000
     drain_ms: float = 7200
@@ -336,6 +339,7 @@
             metrics=self.metrics,
             times=fleet.FleetTimes(
                 watch_ms=_WATCH_MS,
+                apply_ms=own.apply_ms,
                 reader_roles=frozenset((directory.Role.ENTRY,)),
                 lists_instances=False,
                 probing=FORWARDING_ENTRY_PROBER_SETTINGS,
--- a/tests/fakes/store_entries.py
+++ b/tests/fakes/store_entries.py
@@ -13,6 +13,8 @@
 
 #: A leaving target gets no new work after this time.
 DRAIN_MS = 2000
+#: A configuration is in force after this time.
+APPLY_MS = 2000
 
 
 class StoreEntry:
@@ -47,6 +49,7 @@
             log=self.log,
             times=fleet.FleetTimes(
                 watch_ms=1000,
+                apply_ms=APPLY_MS,
                 reader_roles=frozenset((directory.Role.ENTRY,)),
                 lists_instances=False,
                 probing=processes.FORWARDING_ENTRY_PROBER_SETTINGS,
