Count crashes after the first event against parts of prompts

Cause: a crash was recorded only for requests without an event, and a stream that had begun was resumed whatever was known about its parts. Now requests with events are recorded too, with less weight: most requests at any crash have events. Three such crashes convict a part, one alone holds nothing back. An answer that was resumed does not speak for its parts.

test_request_with_events_is_resumed_after_a_crash asserted that such a crash is not recorded, which is the fault; it now asserts what the record says.

--- a/src/carobslip/crashes/_causes.py
+++ b/src/carobslip/crashes/_causes.py
@@ -13,10 +13,15 @@
 #: Crashes within this time count once: engines that fail together have a cause
 #: of their own, and a part that many requests hold was at several of them.
 EPISODE_MS: Final = 250.0
-#: Crashes that convict a part. One that was answered shortly before needs more,
+#: What a crash says against a part: less if the request with it had events
+#: already. Engines are at most crashes amid many answers, few of which have just
+#: begun. Whole contents are rare, so for them the events do not matter.
+_WEIGHT: Final = 3
+_WEIGHT_IF_BEGUN: Final = 2
+#: Weight that convicts a part. One that was answered shortly before needs more,
 #: since requests with it are at most crashes by chance.
-_EPISODES: Final = 2
-_EPISODES_IF_PROVEN: Final = 4
+_WEIGHT_NEEDED: Final = 6
+_WEIGHT_NEEDED_IF_PROVEN: Final = 12
 
 
 class Cause(msgspec.Struct, frozen=True, kw_only=True):
@@ -69,7 +74,7 @@
         for part in crash.parts - crash.cleared:
             by_part[part].append(crash)
     excess = {
-        part: _count_episodes(present) - _episodes_needed(part, present)
+        part: _weigh_episodes(part, present) - _weight_needed(part, present)
         for part, present in by_part.items()
     }
     convicted = [part for part in excess if excess[part] >= 0]
@@ -80,27 +85,39 @@
     return Cause(
         parts=_common_parts(strongest, present),
         crashes=tuple(crash.start for crash in present),
-        spare_episodes=excess[strongest],
+        spare_episodes=excess[strongest] // _WEIGHT,
         last_ms=present[-1].known_ms,
     )
 
 
-def _episodes_needed(
+def _weight_needed(
     part: identifiers.PromptPart,
     crashes: Sequence[_records.Crash],
 ) -> int:
     is_proven = any(part in crash.proven for crash in crashes)
-    return _EPISODES_IF_PROVEN if is_proven else _EPISODES
+    return _WEIGHT_NEEDED_IF_PROVEN if is_proven else _WEIGHT_NEEDED
 
 
-def _count_episodes(crashes: Sequence[_records.Crash]) -> int:
-    count = 0
+def _weigh_episodes(
+    part: identifiers.PromptPart,
+    crashes: Sequence[_records.Crash],
+) -> int:
+    """Adds up the greatest weight of each episode."""
+    weights: list[int] = []
     begun_ms = -math.inf
     for crash in crashes:
+        weight = _weight_of(part, crash)
         if crash.known_ms - begun_ms >= EPISODE_MS:
-            count += 1
+            weights.append(weight)
             begun_ms = crash.known_ms
-    return count
+        else:
+            weights[-1] = max(weights[-1], weight)
+    return sum(weights)
+
+
+def _weight_of(part: identifiers.PromptPart, crash: _records.Crash) -> int:
+    is_full = _records.is_content(part) or part in crash.parts_without_event
+    return _WEIGHT if is_full else _WEIGHT_IF_BEGUN
 
 
 def _common_parts(
@@ -112,7 +129,7 @@
         *(
             frozenset(
                 other
-                for prompt in crash.prompts
+                for prompt in crash.prompts | crash.begun
                 if part in prompt
                 for other in prompt
             )
--- a/src/carobslip/crashes/_gate.py
+++ b/src/carobslip/crashes/_gate.py
@@ -69,13 +69,21 @@
     def find_hold(
         self,
         prompt: tuple[identifiers.PromptPart, ...],
+        *,
+        has_events: bool = False,
     ) -> Hold | None:
-        """Returns why a request must not be sent to a target now."""
+        """Returns why a request must not be sent to a target now.
+
+        Args:
+            prompt: Parts of the request.
+            has_events: A target has sent events of its answer; then a single
+                crash of another target does not speak against it.
+        """
         if not prompt:
             return None
         holds = itertools.chain(
             self._holds_of_causes(prompt),
-            self._holds_of_crashes(prompt),
+            () if has_events else self._holds_of_crashes(prompt),
         )
         return next((hold for hold in holds if hold is not None), None)
 
--- a/src/carobslip/crashes/_ledger.py
+++ b/src/carobslip/crashes/_ledger.py
@@ -2,7 +2,7 @@
 
 import collections
 from collections.abc import Collection, Iterable
-from typing import Final
+from typing import Any, Final
 
 from carobslip import clocks, hashing, identifiers, observability
 from carobslip.crashes import _causes, _records
@@ -44,12 +44,23 @@
         self,
         start: _records.TargetStart,
         prompt: _records.Prompt,
+        *,
+        has_events: bool = False,
     ) -> None:
-        """Records that a target ended before it began to answer a request."""
-        self.merge(
-            (_records.CrashRecord(start=start, age_ms=0.0, prompts=(prompt,)),),
-            source='own request',
+        """Records that a target ended before it had answered a request.
+
+        Args:
+            start: The start of the target.
+            prompt: Parts of the request.
+            has_events: The target had sent events of the answer.
+        """
+        record = _records.CrashRecord(
+            start=start,
+            age_ms=0.0,
+            prompts=() if has_events else (prompt,),
+            begun=(prompt,) if has_events else (),
         )
+        self.merge((record,), source='own request')
 
     def note_answered(self, prompt: _records.Prompt) -> None:
         """Records that a request was answered whole."""
@@ -92,6 +103,7 @@
                 prompts=tuple(sorted(crash.prompts)),
                 cleared=tuple(sorted(crash.cleared)),
                 proven=tuple(sorted(crash.proven)),
+                begun=tuple(sorted(crash.begun)),
             )
             for crash in self._crashes.values()
         )
@@ -105,11 +117,22 @@
         self,
         start: _records.TargetStart,
         prompt: _records.Prompt,
+        *,
+        has_events: bool = False,
     ) -> bool:
-        """Tells whether a request may have caused a crash."""
+        """Tells whether a request may have caused a crash.
+
+        Args:
+            start: The start of the target.
+            prompt: Parts of the request.
+            has_events: The target had sent events of the answer; one crash
+                alone does not speak against such a request.
+        """
         for cause in self.causes:
             if start in cause.crashes:
                 return cause.parts.issubset(prompt)
+        if has_events:
+            return False
         crash = self._crashes.get(start)
         return crash is not None and bool(crash.suspects(prompt))
 
@@ -124,14 +147,14 @@
                 observability.Event.TARGET_CRASHED,
                 start=start,
                 prompts=record.prompts,
+                begun=record.begun,
                 source=source,
                 age_ms=round(record.age_ms),
             )
         before = _content_of(crash)
         crash.known_ms = min(crash.known_ms, now_ms - record.age_ms)
-        for prompt in record.prompts:
-            if len(crash.prompts) < _records.PROMPTS_MAX:
-                crash.prompts.add(_prompt_of(prompt))
+        _add_prompts(crash.prompts, record.prompts)
+        _add_prompts(crash.begun, record.begun)
         crash.cleared.update(_prompt_of(record.cleared))
         crash.proven.update(_prompt_of(record.proven))
         self._apply_answers(crash)
@@ -187,16 +210,23 @@
         }
 
 
+def _add_prompts(
+    known: set[_records.Prompt], added: Iterable[Iterable[str]]
+) -> None:
+    for names in added:
+        if len(known) < _records.PROMPTS_MAX:
+            known.add(_prompt_of(names))
+
+
 def _prompt_of(names: Iterable[str]) -> _records.Prompt:
     return tuple(identifiers.PromptPart(name) for name in names)
 
 
-def _content_of(
-    crash: _records.Crash,
-) -> tuple[list[_records.Prompt], list[str], list[str]]:
+def _content_of(crash: _records.Crash) -> tuple[list[Any], ...]:
     """Returns what is known of a crash, apart from its time."""
     return (
         sorted(crash.prompts),
+        sorted(crash.begun),
         sorted(crash.cleared),
         sorted(crash.proven),
     )
--- a/src/carobslip/crashes/_records.py
+++ b/src/carobslip/crashes/_records.py
@@ -53,6 +53,7 @@
         prompts: Shared parts of the requests at it that had no event yet.
         cleared: Parts among them that were answered whole after the crash.
         proven: Parts among them that were answered whole shortly before it.
+        begun: Shared parts of the requests at it that had events already.
     """
 
     start: _Name
@@ -63,6 +64,10 @@
     ]
     cleared: _Parts = ()
     proven: _Parts = ()
+    begun: Annotated[
+        tuple[_Parts, ...],
+        msgspec.Meta(max_length=PROMPTS_MAX),
+    ] = ()
 
 
 class Crash:
@@ -76,13 +81,20 @@
     def __init__(self, *, start: TargetStart, known_ms: float) -> None:
         self.start = start
         self.known_ms = known_ms
+        #: Prompts without an event at the time, and those with some.
         self.prompts: set[Prompt] = set()
+        self.begun: set[Prompt] = set()
         self.cleared: set[identifiers.PromptPart] = set()
         self.proven: set[identifiers.PromptPart] = set()
 
     @property
     def parts(self) -> set[identifiers.PromptPart]:
         """All parts of the prompts."""
+        return {part for prompt in self.prompts | self.begun for part in prompt}
+
+    @property
+    def parts_without_event(self) -> set[identifiers.PromptPart]:
+        """The parts of prompts that had no event yet."""
         return {part for prompt in self.prompts for part in prompt}
 
     def suspects(self, prompt: Prompt) -> frozenset[identifiers.PromptPart]:
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -110,6 +110,7 @@
             place=place,
             started_ms=self._context.clock.now_ms(),
             calls=calls,
+            is_resumed=pending.resume_after is not None,
         )
         pending.sent += 1
         if pending.arrivals:
@@ -269,18 +270,22 @@
             return verdicts.not_run(_Reason.NOT_CONNECTED, str(fault))
         except guard.TargetLost as fault:
             self._note_failure(place, is_unreachable=False)
-            if call.progress.events == 0:
-                await self._note_crash(pending, place)
+            await self._note_crash(pending, call)
             return verdicts.may_have_run(_Reason.CONNECTION_LOST, str(fault))
 
     async def _note_crash(
         self,
         pending: _pending_request.PendingRequest,
-        place: targets.TargetRecord,
+        call: _calls.Call,
     ) -> None:
-        if await self._crash_watch.is_suspect(pending.request, place):
-            pending.is_suspect = True
-        pending.resend_pause_ms = self._crash_watch.resend_pause_ms(place)
+        has_events = call.progress.events > 0
+        pending.is_suspect |= await self._crash_watch.is_suspect(
+            pending.request, call.place, has_events=has_events
+        )
+        # A stream that has begun goes on at once: its caller counts the pause.
+        pending.resend_pause_ms = (
+            0.0 if has_events else self._crash_watch.resend_pause_ms(call.place)
+        )
 
     async def _handle_answer(
         self,
@@ -303,7 +308,9 @@
             return self._handle_refusal(place, answer)
         if answer.head.is_success and answer.is_event_stream:
             await self._relay.forward_stream(pending, call, answer)
-            self._crash_watch.note_answered(pending.request)
+            if not call.is_resumed:
+                # The rest of a stream does not show what happened before it.
+                self._crash_watch.note_answered(pending.request)
             return verdicts.ran()
         body = await self._relay.read_whole(call, answer)
         if pending.begun:
--- a/src/carobslip/forwarding/_calls.py
+++ b/src/carobslip/forwarding/_calls.py
@@ -19,6 +19,7 @@
         place: The target that is called.
         started_ms: When it was started.
         calls: All calls of the request that are in progress.
+        is_resumed: It asks for the rest of a stream only.
     """
 
     def __init__(
@@ -27,6 +28,7 @@
         place: targets.TargetRecord,
         started_ms: float,
         calls: list['Call'],
+        is_resumed: bool = False,
     ) -> None:
         self.place = place
         self.started_ms = started_ms
@@ -35,6 +37,7 @@
         self.is_cancelled = False
         self.is_sending_to_caller = False
         self.answered_status = 0
+        self.is_resumed = is_resumed
         self._calls = calls
 
     @property
--- a/src/carobslip/forwarding/_crash_watch.py
+++ b/src/carobslip/forwarding/_crash_watch.py
@@ -70,19 +70,23 @@
         self,
         request: _request.ForwardRequest,
         place: targets.TargetRecord,
+        *,
+        has_events: bool,
     ) -> bool:
         """Tells whether a request may have crashed its target.
 
         Args:
-            request: A request that was lost before its first event.
+            request: A request whose connection was lost.
             place: The target that lost it.
+            has_events: The target had sent events of the answer.
         """
         if not request.crash_parts or not await self._has_crashed(place):
             return False
         start = crashes.start_of(place)
-        self._ledger.note_crash(start, request.crash_parts)
+        parts = request.crash_parts
+        self._ledger.note_crash(start, parts, has_events=has_events)
         await self._wait_for_peers()
-        return self._ledger.is_suspect(start, request.crash_parts)
+        return self._ledger.is_suspect(start, parts, has_events=has_events)
 
     def resend_pause_ms(self, place: targets.TargetRecord) -> float:
         """Returns how long a request that a target lost is not sent again.
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -363,10 +363,9 @@
         self, pending: _pending_request.PendingRequest
     ) -> verdicts.Outcome | None:
         """Returns the outcome of a request that must not be sent now."""
-        if pending.begun:
-            # A prompt that crashes targets never gets an event.
-            return None
-        hold = self._gate.find_hold(pending.request.crash_parts)
+        hold = self._gate.find_hold(
+            pending.request.crash_parts, has_events=pending.begun
+        )
         if hold is None:
             return None
         if pending.may_have_run:
--- a/tests/fakes/crashing_engines.py
+++ b/tests/fakes/crashing_engines.py
@@ -63,7 +63,11 @@
 
     async def chunks(self):
         first = int(self._call.last_event or 0) + 1
+        is_deadly = self._world.is_deadly(self._call.request)
         for number in range(first, EVENTS + 1):
+            if is_deadly and number - first >= self._world.events:
+                self._world.crash(self._engine)
+                raise guard.TargetLost('closed between two events')
             yield b'id: %d\ndata: x\n\n' % number
             await self._world.pause(self._engine, self._crashed, EVENT_S)
 
@@ -74,12 +78,14 @@
     Args:
         deadly: Parts of a prompt that crash engines.
         engines: Number of engines.
+        events: Events of an answer before a deadly part crashes its engine.
         groups: Number of lock-step groups.
     """
 
-    def __init__(self, deadly, *, engines=16, groups=2, seed=1):
+    def __init__(self, deadly, *, engines=16, groups=2, seed=1, events=0):
         self.random = random.Random(seed)
         self.deadly = frozenset(deadly)
+        self.events = events
         self._groups = [_Group() for _ in range(groups)]
         self._engines = {
             f'e{number}:1': _Engine(number, self._groups[number % groups])
@@ -146,7 +152,7 @@
             await self._stall(engine, crashed)
             yield fakes.FakeAnswer(status=503, has_not_run=True)
             return
-        if is_deadly:
+        if is_deadly and not self.events:
             self.crash(engine)
             raise guard.TargetLost('closed before the first event')
         self.begun.add(call.request.request_id)
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -12,8 +12,9 @@
 MINUTE_MS = 60_000.0
 
 
-def crash(start, *prompts, at_ms=0.0, cleared=(), proven=()):
+def crash(start, *prompts, at_ms=0.0, cleared=(), proven=(), begun=()):
     known = crashes.Crash(start=start, known_ms=at_ms)
+    known.begun = set(begun)
     known.prompts = set(prompts)
     known.cleared = set(cleared)
     known.proven = set(proven)
@@ -71,6 +72,44 @@
         ],
         [{'a'}],
     ),
+    'common part of two crashes after the first event': (
+        [
+            crash('t1', begun=[('a', 'd')]),
+            crash('t2', begun=[('b', 'd')], at_ms=900),
+        ],
+        [],
+    ),
+    'common part of three crashes after the first event': (
+        [
+            crash('t1', begun=[('a', 'd')]),
+            crash('t2', begun=[('b', 'd')], at_ms=900),
+            crash('t3', begun=[('a', 'd')], at_ms=1800),
+        ],
+        [{'d'}],
+    ),
+    'answered before, and five crashes after the first event': (
+        [
+            crash(
+                f't{number}',
+                begun=[('a',)],
+                at_ms=900.0 * number,
+                proven=('a',),
+            )
+            for number in range(5)
+        ],
+        [],
+    ),
+    'crashes after the first event at the same moment': (
+        [crash(f't{number}', begun=[('a',)]) for number in range(5)],
+        [],
+    ),
+    'content of two crashes after the first event': (
+        [
+            crash('t1', begun=[('content=1',)]),
+            crash('t2', begun=[('content=1',)], at_ms=900),
+        ],
+        [{'content=1'}],
+    ),
     'bystander of explained crashes': (
         [
             crash('t1', ('d',), ('s',)),
@@ -338,11 +377,60 @@
         entry.port.is_gone = is_gone
         _outcome, caller = await entry.send('/note/x', shared_parts=('p',))
         assert caller.is_whole
-        assert entry.ledger.records() == ()
+        (record,) = entry.ledger.records()
+        assert record.prompts == ()
+        assert record.begun == (('p',),)
+        # The rest of an answer says nothing about its begin.
+        assert record.cleared == ()
+
+    virtual.run(scenario)
+
+
+def test_request_that_crashes_targets_after_an_event_stops_after_two():
+    async def scenario():
+        answers = [fakes.broken_events(number) for number in range(1, 9)]
+        entry = fakes.Entry(answers, held=fakes.table())
+
+        async def is_gone(_record):
+            await asyncio.sleep(0.3)
+            return True
+
+        entry.port.is_gone = is_gone
+        outcome, _caller = await entry.send(
+            '/note/x', content_part=crashes.content_part(1)
+        )
+        assert len(entry.port.calls) == 2
+        assert outcome.verdict is verdicts.Verdict.MAY_HAVE_RUN
 
     virtual.run(scenario)
 
 
+def test_one_crash_amid_answers_holds_nothing_back():
+    process = Process()
+    process.ledger.note_crash('t1', ('a', 'd'), has_events=True)
+    assert not process.holds('a', 'd')
+    assert not process.ledger.is_suspect('t1', ('a', 'd'), has_events=True)
+    assert process.ledger.is_suspect('t1', ('a', 'd'))
+
+
+def test_processes_of_the_version_before_read_crashes_after_an_event():
+    record = crashes.CrashRecord(
+        start='t1', age_ms=0, prompts=(('d',),), begun=(('e',),)
+    )
+
+    class Before(msgspec.Struct, array_like=True):
+        start: str
+        age_ms: float
+        prompts: tuple[tuple[str, ...], ...]
+        cleared: tuple[str, ...] = ()
+        proven: tuple[str, ...] = ()
+
+    encoded = msgspec.msgpack.encode(record)
+    assert msgspec.msgpack.decode(encoded, type=Before).prompts == (('d',),)
+    old = msgspec.msgpack.encode(Before('t1', 0, (('d',),)))
+    assert msgspec.msgpack.decode(old, type=crashes.CrashRecord).begun == ()
+
+
 def test_held_back_request_has_not_run_and_says_when_to_return():
     async def scenario():
         entry = fakes.Entry(held=fakes.table())
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -23,16 +23,20 @@
 BEGIN_S = 4.0
 END_S = 26.0
 DAY_S = 34.0
+#: Events of an answer after which its engine crashes.
+EVENTS_BEFORE_CRASH = (0, 1, 2, 7, 15)
 
 
 class Day:
     """Requests of a day at a fleet of entries, and what callers get."""
 
-    def __init__(self, *, seed, deadly=(DEADLY,), share=0.03, entries=7):
+    def __init__(
+        self, *, seed, deadly=(DEADLY,), share=0.03, entries=7, events=0
+    ):
         self.random = random.Random(seed)
         self.deadly = deadly
         self.share = share
-        self.world = crashing_engines.World(deadly, seed=seed)
+        self.world = crashing_engines.World(deadly, seed=seed, events=events)
         self.news = crash_news.News(seed)
         self.ids = itertools.count()
         self.outcomes = []
@@ -120,14 +124,17 @@
     return virtual.run(scenario)
 
 
+@pytest.mark.parametrize('events', EVENTS_BEFORE_CRASH)
 @pytest.mark.parametrize('seed', [1, 2, 3])
-def test_prompt_part_that_crashed_engines_is_not_sent_on(seed):
-    assert len(play(seed=seed).late_sends()) <= LATE_SENDS_MAX
+def test_prompt_part_that_crashed_engines_is_not_sent_on(seed, events):
+    day = play(seed=seed, events=events)
+    assert len(day.late_sends()) <= LATE_SENDS_MAX
 
 
+@pytest.mark.parametrize('events', EVENTS_BEFORE_CRASH)
 @pytest.mark.parametrize('seed', [1, 2, 3])
-def test_sound_requests_are_served_while_crashing_ones_still_come(seed):
-    day = play(seed=seed)
+def test_sound_requests_are_served_while_crashing_ones_still_come(seed, events):
+    day = play(seed=seed, events=events)
     known = day.world.crashes_s[:CRASHES_MAX]
     before = day.begun_at_first_attempt(0, BEGIN_S)
     beside = day.begun_at_first_attempt(known[-1] + 2 * CONTACT_S, END_S)
