Refuse answers whose framing outweighs their content; check them in parts

An engine that sent a body in chunks of one byte kept a process busy for 21.6 s of processor time on an arm64 machine with the parser that is not compiled, until a megabyte of content had arrived. Three tests of tests/test_endless_answers.py failed there in the landed code (bound of 20 s), and sound requests beside a flood of short answers were refused as after a pause (tests/test_broken_engines.py, surplus and interim, once each beside load): all bytes of one read were parsed before they were checked.

Bytes around the content count as unused beyond twice the content, and at most 16 KiB are parsed between two checks. A stream of three bytes a chunk may still have 1.5 MB.

--- a/src/carobslip/adapters/strict_answers.py
+++ b/src/carobslip/adapters/strict_answers.py
@@ -19,6 +19,11 @@
 #: Bytes that may arrive without an answer or a part of its body: the longest
 #: head that the library's parser accepts, 128 fields of 8,190 bytes.
 _UNUSED_MAX_BYTES: Final = 1_048_576
+#: Bytes around the content of a body that come with each byte of it; more of
+#: them count as unused. Chunks of a few bytes take long to parse.
+_FRAMING_RATIO: Final = 2
+#: Bytes that are parsed before the answers in them are checked.
+_PART_BYTES: Final = 16_384
 _EXPLANATION_MAX_CHARS: Final = 200
 _COMPILED_PARSER: Final = 'aiohttp._http_parser'
 _STRICT_FLAG: Final = 'DEBUG'
@@ -69,22 +74,38 @@
         super().set_response_params(**named)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes, unless none of many has been of use."""
-        if self._unused_bytes > _UNUSED_MAX_BYTES:
-            self._refuse(
-                _Fault.ENDLESS, f'{self._unused_bytes} bytes without an answer'
-            )
-            return
-        self._unused_bytes += len(data)
-        super().data_received(data)
-        body_bytes = 0 if self._payload is None else self._payload.total_bytes
-        if body_bytes != self._body_bytes:
-            self._body_bytes = body_bytes
-            self._unused_bytes = 0
+        """Parses received bytes until the connection is refused."""
+        for begin in range(0, len(data), _PART_BYTES):
+            if self._unused_bytes > _UNUSED_MAX_BYTES:
+                self._refuse(
+                    _Fault.ENDLESS,
+                    f'{self._unused_bytes} bytes without an answer',
+                )
+            if self._is_refused:
+                return
+            part = data[begin : begin + _PART_BYTES]
+            super().data_received(part)
+            self._note_parsed(len(part))
+
+    def _note_parsed(self, size_bytes: int) -> None:
+        """Counts bytes that were of no use, and records a broken answer."""
+        used_bytes = (1 + _FRAMING_RATIO) * self._take_progress()
+        self._unused_bytes = max(
+            0, self._unused_bytes + size_bytes - used_bytes
+        )
         fault = self.exception()
         if isinstance(fault, http_exceptions.HttpProcessingError):
             self._note_refused(_Fault.SYNTAX, fault.message)
 
+    def _take_progress(self) -> int:
+        """Returns the bytes of bodies since the last call."""
+        before_bytes = self._body_bytes
+        payload = self._payload
+        self._body_bytes = 0 if payload is None else payload.total_bytes
+        if self._body_bytes < before_bytes:
+            return self._body_bytes
+        return self._body_bytes - before_bytes
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queues the head of an answer, with the reader of its body."""
         message = data[0]
