Share the rate of cold targets so that changes of the fleet keep to it

Cause: whoever took over a rate, or a larger part of it, relied on its own empty past. ColdShares now gives each user a part: most of it to a broker that has been one for 2.2 s, a tenth to one that has just become one or ceased to be, a tenth to all entries whose broker does not answer. Shares are divided by the entries known within 30 s, so that one that grows is used only after its former users can no longer use it.

--- a/src/carobslip/fleet/_member.py
+++ b/src/carobslip/fleet/_member.py
@@ -103,6 +103,7 @@
         self._is_prepared = False
         self.on_configuration: Callable[[], None] = _do_nothing
         self.on_members: Callable[[], None] = _do_nothing
+        self.on_pause: Callable[[], None] = _do_nothing
         incarnation = identifiers.Incarnation(clock.wall_ms() * 1000)
         self.holder = configuration.Holder(
             clock=clock,
@@ -338,6 +339,7 @@
             observability.Event.PAUSE_NOTICED,
             pause_ms=round(pause_ms),
         )
+        self.on_pause()
         await self.refresh()
 
     async def _log_traffic(self) -> None:
--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -79,6 +79,8 @@
         generator: Spreads the retries of refused callers.
         position: Returns the index of this entry among those that share the
             targets; None if it is not known.
+        cold_share: Returns the part of the rate of a cold target of a service
+            that this entry uses; None for an equal part.
     """
 
     def __init__(
@@ -94,7 +96,9 @@
         clock: clocks.Clock,
         generator: random.Random,
         position: Callable[[], int] | None = None,
+        cold_share: Callable[[identifiers.ServiceId], float] | None = None,
     ) -> None:
+        self._cold_share = cold_share or self._equal_share
         self._loads = loads
         self._candidates = candidates
         self._entries = entries
@@ -374,14 +378,17 @@
         if demand.cold_rps <= 0:
             return True
         entries = max(1, self._entries())
-        used_rps = _COLD_USED_SHARE * demand.cold_rps
-        if demand.spreads_cold_rate and used_rps < entries:
-            turn_ms = _COLD_WINDOW_MS / used_rps
+        own_rps = self._cold_share(demand.service) * demand.cold_rps
+        if demand.spreads_cold_rate and own_rps < 1:
+            turn_ms = _COLD_WINDOW_MS / (own_rps * entries)
             return self._cold_turns.is_open(
                 record.target, turn_ms=turn_ms, entries=entries
             ) and not self._loads.sends_within(record.target, turn_ms)
         sent = self._loads.sends_within(record.target, _COLD_WINDOW_MS)
-        return sent < max(1, int(used_rps / entries))
+        return sent < max(1, int(own_rps))
+
+    def _equal_share(self, service: identifiers.ServiceId) -> float:
+        return _COLD_USED_SHARE / max(1, self._entries())
 
     def _turns_per_ms(
         self,
@@ -394,8 +401,8 @@
         free = sum(
             self._has_free_slot(record, demand.share_min) for record in usable
         )
-        used_rps = _COLD_USED_SHARE * demand.cold_rps
-        return free * used_rps / max(1, self._entries()) / _COLD_WINDOW_MS
+        own_rps = self._cold_share(demand.service) * demand.cold_rps
+        return free * own_rps / _COLD_WINDOW_MS
 
     def _start(self, record: targets.TargetRecord) -> targets.TargetRecord:
         self._loads.note_start(record.target)
--- a/src/carobslip/forwarding/_context.py
+++ b/src/carobslip/forwarding/_context.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from carobslip import clocks, observability
+from carobslip import clocks, identifiers, observability
 from carobslip.forwarding import _permits, _repeat_budget, _slot_ports
 
 
@@ -33,11 +33,14 @@
             after a pause.
         position: Returns the index of this entry in the order of the names of
             those that are alive; None if it is not known.
+        cold_share: Returns the part of the rate of a cold target of a service
+            that this entry uses without a broker; None for an equal part.
     """
 
     entries: Callable[[], int]
     is_current: Callable[[], bool]
     position: Callable[[], int] | None = None
+    cold_share: Callable[[identifiers.ServiceId], float] | None = None
 
 
 class SharedLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -132,6 +132,7 @@
             clock=context.clock,
             generator=context.generator,
             position=fleet.position,
+            cold_share=fleet.cold_share,
         )
         if shared.slots is None:
             return admission
--- a/src/carobslip/processes/_entry_slots.py
+++ b/src/carobslip/processes/_entry_slots.py
@@ -30,6 +30,7 @@
             may get; 0 for no bound.
         pass_figures: Returns what a service states about the passes of its
             targets.
+        contended: Returns the services that have a broker.
         context: Clock, random generator, log and metrics.
     """
 
@@ -45,11 +46,28 @@
         pass_figures: Callable[
             [identifiers.ServiceId], slotbroker.PassFigures | None
         ],
+        contended: Callable[[], frozenset[identifiers.ServiceId]],
         context: forwarding.ProcessContext,
     ) -> None:
         clock, log, metrics = context.clock, context.log, context.metrics
         self._table = member.table
         self._supervisor = tasks.Supervisor(log=log, metrics=metrics)
+        self._choice = _slot_brokers.BrokerChoice(
+            own=member.record.instance,
+            entries=member.fleet.entries,
+            is_suspect=self._is_suspect,
+            clock=clock,
+            log=log,
+            metrics=metrics,
+        )
+        self.shares = slotbroker.ColdShares(
+            entries=lambda: [
+                record.instance for record in member.fleet.entries()
+            ],
+            is_broker=self._choice.is_own,
+            contended=contended,
+            clock=clock,
+        )
         self.server = _slot_server.SlotServer(
             broker=slotbroker.SlotBroker(
                 candidates=candidates,
@@ -58,6 +76,7 @@
                     clock=clock,
                     log=log,
                     metrics=metrics,
+                    share=self.shares.broker_share,
                 ),
                 clock=clock,
                 generator=context.generator,
@@ -72,13 +91,6 @@
             log=log,
             metrics=metrics,
         )
-        self._choice = _slot_brokers.BrokerChoice(
-            entries=member.fleet.entries,
-            is_suspect=self._is_suspect,
-            clock=clock,
-            log=log,
-            metrics=metrics,
-        )
         self.port = _slot_exchange.SlotExchange(
             node=member.node,
             data_centre=member.record.data_centre,
@@ -97,6 +109,7 @@
             metrics=metrics,
         )
         member.on_members = self._on_members
+        member.on_pause = self.shares.note_pause
 
     async def close(self) -> None:
         """Ends all messages and decisions."""
@@ -105,6 +118,7 @@
 
     def _on_members(self) -> None:
         self._choice.note_members_changed()
+        self.shares.note_changed()
         # Entries that leave, or may be dead, still have requests at targets.
         self.server.drop_entries(
             {record.instance for record in self._members()}
--- a/src/carobslip/processes/_forwarding_entry.py
+++ b/src/carobslip/processes/_forwarding_entry.py
@@ -160,6 +160,7 @@
             candidates=lambda service: self.forwarder.candidates(service),
             cold_rps=lambda service: self.forwarder.cold_rps(service),
             pass_figures=lambda service: self.forwarder.pass_figures(service),
+            contended=lambda: self.forwarder.contended_services,
             context=context,
         )
         self.forwarder = forwarding.Forwarder(
@@ -171,6 +172,7 @@
                 entries=self._count_entries,
                 is_current=self.member.pause_detector.is_current,
                 position=self._position_among_entries,
+                cold_share=self._slots.shares.own_share,
             ),
             rules=own.rules,
             shared=forwarding.SharedLimits(
@@ -190,7 +192,7 @@
             entries=self._count_entries,
             log=self.log,
         )
-        self.member.on_configuration = self.forwarder.apply_configuration
+        self.member.on_configuration = self._apply_configuration
         self.member.node.register_handler(
             control.FetchTargets, self._answer_targets
         )
@@ -302,6 +304,10 @@
         chosen = near if len(near) > 1 else [*near, *far]
         return [record.http_address for record in chosen[:limit]]
 
+    def _apply_configuration(self) -> None:
+        self.forwarder.apply_configuration()
+        self._slots.shares.note_changed()
+
     def _known_entries(self) -> list[identifiers.InstanceId]:
         return [record.instance for record in self.member.fleet.entries()]
 
--- a/src/carobslip/processes/_slot_brokers.py
+++ b/src/carobslip/processes/_slot_brokers.py
@@ -26,6 +26,7 @@
     Entries that know the same members choose the same one by hashing.
 
     Args:
+        own: This entry.
         entries: Returns the entries that may be brokers, this one included.
         is_suspect: Tells whether an entry is presumed to have ended, without
             certainty.
@@ -37,12 +38,14 @@
     def __init__(
         self,
         *,
+        own: identifiers.InstanceId,
         entries: Callable[[], Iterable[directory.InstanceRecord]],
         is_suspect: Callable[[identifiers.InstanceId], bool],
         clock: clocks.Clock,
         log: observability.EventLog,
         metrics: observability.Metrics,
     ) -> None:
+        self._own = own
         self._entries = entries
         self._is_suspect = is_suspect
         self._clock = clock
@@ -69,6 +72,12 @@
         is_silent = self._was_silent(service, broker, _SILENT_MS)
         return None if is_silent else broker
 
+    def is_own(self, service: identifiers.ServiceId) -> bool:
+        """Tells whether this entry is the broker of a service."""
+        self.find(service)
+        broker = self._chosen[service]
+        return broker is not None and broker.instance == self._own
+
     def note_silent(
         self,
         service: identifiers.ServiceId,
--- a/src/carobslip/slotbroker/_target_pace.py
+++ b/src/carobslip/slotbroker/_target_pace.py
@@ -15,9 +15,9 @@
 from carobslip import clocks, identifiers, observability, targets
 from carobslip.slotbroker import _pace_watch, _types
 
-#: Part of the fleet's bound that is used, and the window in which starts are
-#: counted. The bound holds for any second at the target, and the time between
-#: a grant and the arrival of its request varies.
+#: Part of the fleet's bound that is used if no other is given, and the window in
+#: which starts are counted. The bound holds for any second at the target, and the
+#: time between a grant and the arrival of its request varies.
 _USED_SHARE: Final = 0.8
 _FLIGHT_MS: Final = 100.0
 _WINDOW_MS: Final = 1000.0 + _FLIGHT_MS
@@ -132,6 +132,7 @@
         clock: Monotonic time.
         log: Receives changes of the limits.
         metrics: Receives counts of them.
+        share: Returns the part of ``cold_rps`` that this broker may use.
     """
 
     def __init__(
@@ -141,8 +142,10 @@
         clock: clocks.Clock,
         log: observability.EventLog,
         metrics: observability.Metrics,
+        share: Callable[[identifiers.ServiceId], float] | None = None,
     ) -> None:
         self._cold_rps = cold_rps
+        self._share = share or _share_of_only_broker
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -242,11 +245,13 @@
         bound_rps = min(_RPS_MAX, self._cold_rps(known.service))
         if bound_rps <= 0:
             return True
-        used_rps = _USED_SHARE * bound_rps
+        used_rps = self._share(known.service) * bound_rps
+        if used_rps <= 0:
+            return False
         starts = max(1, int(used_rps))
         if now_ms - self._started_ms < _WINDOW_MS:
             # The broker before this one may have used its part just now.
-            starts = max(1, int(bound_rps) - starts)
+            starts = max(1, min(starts, int(bound_rps) - starts))
         return known.is_within(
             starts=starts,
             window_ms=max(_WINDOW_MS, 1000 / used_rps + _FLIGHT_MS),
@@ -348,3 +353,7 @@
 
     def _watched(self) -> int:
         return sum(service.watched for service in self._services.values())
+
+
+def _share_of_only_broker(service: identifiers.ServiceId) -> float:
+    return _USED_SHARE
--- a/tests/fakes/slot_entries.py
+++ b/tests/fakes/slot_entries.py
@@ -149,6 +149,7 @@
             **common,
         )
         self.choice = _slot_brokers.BrokerChoice(
+            own=self.record.instance,
             entries=lambda: self.members,
             is_suspect=lambda name: name in fleet.suspects,
             **common,
--- a/tests/test_slot_exchange.py
+++ b/tests/test_slot_exchange.py
@@ -443,6 +443,7 @@
         member=member,
         candidates=lambda _service: fleet.records,
         cold_rps=lambda _service: 0,
+        contended=frozenset,
         pass_figures=lambda _service: None,
         context=forwarding.ProcessContext(
             clock=own.clock,
