--- a/src/carobslip/control/_fetcher.py
+++ b/src/carobslip/control/_fetcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -75,7 +76,7 @@
         if self._transfer is None or self._transfer.done():
             self._transfer = asyncio.ensure_future(self._fetch_all())
 
-    async def finish(self, timeout_ms: float) -> None:
+    async def finish(self, timeout_ms: float = math.inf) -> None:
         """Waits until the highest announced version is held or cannot be fetched.
 
         Versions that are announced during the wait are not waited for.
