Keep what a concurrent call has found out about a request

The suspicion of a request was read before the wait for peers and stored after it, so a second call that had found it in between was forgotten. The number of entries is asked only where turns are needed, not for each target.

--- a/src/carobslip/forwarding/_admission.py
+++ b/src/carobslip/forwarding/_admission.py
@@ -377,9 +377,9 @@
     ) -> bool:
         if demand.cold_rps <= 0:
             return True
-        entries = max(1, self._entries())
         own_rps = self._cold_share(demand.service) * demand.cold_rps
         if demand.spreads_cold_rate and own_rps < 1:
+            entries = max(1, self._entries())
             turn_ms = _COLD_WINDOW_MS / (own_rps * entries)
             return self._cold_turns.is_open(
                 record.target, turn_ms=turn_ms, entries=entries
--- a/src/carobslip/forwarding/_attempts.py
+++ b/src/carobslip/forwarding/_attempts.py
@@ -279,9 +279,10 @@
         call: _calls.Call,
     ) -> None:
         has_events = call.progress.events > 0
-        pending.is_suspect |= await self._crash_watch.is_suspect(
+        if await self._crash_watch.is_suspect(
             pending.request, call.place, has_events=has_events
-        )
+        ):
+            pending.is_suspect = True
         # A stream that has begun goes on at once: its caller counts the pause.
         pending.resend_pause_ms = (
             0.0 if has_events else self._crash_watch.resend_pause_ms(call.place)
