Test the ages that follow from the time to apply a configuration

ReadTimes.read_ms was used by nothing, and the times were not tested over their sizes. The test checks that own reads begin at four fifths of the bound at the latest, and that watchers know more before they are asked. 15 cases pass. No code changes.

--- a/tests/test_stale_watchers.py
+++ b/tests/test_stale_watchers.py
@@ -169,3 +169,15 @@
     # Two entries read in the place of the watchers.
     assert len(readers) <= 4
     assert sum(readers.values()) <= 2 * trouble_s * CALLS_PER_WATCHER_S
+
+
+# A read that begins too late ends after a configuration has to be in force.
+@pytest.mark.parametrize('apply_ms', [200, 2000, 3000, 4000, 40_000])
+@pytest.mark.parametrize('watch_ms', [100, 1000, 10_000])
+def test_own_reads_begin_well_before_a_configuration_must_apply(
+    watch_ms, apply_ms
+):
+    times = fleet.ReadTimes.derive(watch_ms=watch_ms, apply_ms=apply_ms)
+    assert times.read_ms <= 0.8 * apply_ms
+    # Watchers know more after each watch, before they are asked.
+    assert times.watch_ms < times.ask_ms
