--- a/review/support-3/plain_deployment.py
+++ b/review/support-3/plain_deployment.py
@@ -27,6 +27,8 @@
         self.store = store.Store()
         self.fronts = []
         self.entries = []
+        #: Called with the name of an engine that runs a request.
+        self.on_run: Callable[[str], None] = lambda _target: None
         self._engines = 0
 
     async def start_store(self, configuration: dict[str, Any]) -> None:
@@ -53,6 +55,7 @@
                 return http_server.Answer(421)
             request_id = request.header('X-Request-Id')
             self.record.write(f'run {request_id} at {target} ({service})')
+            self.on_run(target)
             return http_server.Answer(
                 200,
                 body_of(request),
--- a/review/support-3/store.py
+++ b/review/support-3/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 
 import http_server
@@ -15,6 +16,8 @@
         self.revision = 1
         self.items = {}
         self.history = []
+        #: Tells whether the connection of a watch goes silent now.
+        self.silences: Callable[[str], bool] = lambda _prefix: False
         self._changed = asyncio.Event()
 
     async def start(self, host: str, port: int) -> None:
@@ -47,7 +50,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _answer(self, request: http_server.Request) -> http_server.Answer:
+    async def _answer(self, request: http_server.Request) -> http_server.Reply:
         if request.path == '/carobslip/kv-range':
             return self._range(request)
         if request.path == '/carobslip/kv-watch':
@@ -66,8 +69,10 @@
             {'items': items, 'has_more': False, 'current_rev': self.revision}
         )
 
-    async def _watch(self, request: http_server.Request) -> http_server.Answer:
+    async def _watch(self, request: http_server.Request) -> http_server.Reply:
         prefix = request.query['prefix']
+        if self.silences(prefix):
+            return http_server.NoAnswer()
         after = int(request.query['after'])
         wait_s = int(request.query['wait_ms']) / 1000
         until_s = asyncio.get_running_loop().time() + wait_s
