--- a/review/support-3/plain_deployment.py
+++ b/review/support-3/plain_deployment.py
@@ -30,6 +30,7 @@
         #: Called with the name of an engine that runs a request.
         self.on_run: Callable[[str], None] = lambda _target: None
         self._engines = 0
+        self._settings: list[dict[str, Any]] = []
 
     async def start_store(self, configuration: dict[str, Any]) -> None:
         """Starts the store with a configuration."""
@@ -87,22 +88,25 @@
         seeds = [listen['control'] for listen in listens[:3]]
         for number, listen in enumerate(listens, 1):
             self.fronts.append(listen['front'])
-            self.entries.append(
-                fleet.start(
-                    fleet.settings(
-                        node=f'front-{number}',
-                        role='entry',
-                        ip=listen['front'].partition(':')[0],
-                        zone='leeds',
-                        store=self.store_address,
-                        listen=listen,
-                        seed_nodes=seeds,
-                    )
+            self._settings.append(
+                fleet.settings(
+                    node=f'front-{number}',
+                    role='entry',
+                    ip=listen['front'].partition(':')[0],
+                    zone='leeds',
+                    store=self.store_address,
+                    listen=listen,
+                    seed_nodes=seeds,
                 )
             )
+        self.start_entries_again()
         for listen in listens:
             await fleet.wait_ready(listen['ready'])
 
+    def start_entries_again(self) -> None:
+        """Starts the processes of all entries."""
+        self.entries = [self.fleet.start(each) for each in self._settings]
+
 
 class Channel:
     """A connection of a caller, kept for several requests.
--- a/review/support-3/store.py
+++ b/review/support-3/store.py
@@ -15,9 +15,14 @@
     def __init__(self) -> None:
         self.revision = 1
         self.items = {}
-        self.history = []
+        self.history: list[dict[str, Any]] = []
+        self._compacted = 0
         #: Tells whether the connection of a watch goes silent now.
         self.silences: Callable[[str], bool] = lambda _prefix: False
+        #: Rises each time that the store comes back from an older copy.
+        self.era = 1
+        #: The store answers nothing; it ends the connections of calls.
+        self.is_away = False
         self._changed = asyncio.Event()
 
     async def start(self, host: str, port: int) -> None:
@@ -45,17 +50,43 @@
         self.items.pop(key)
         self._publish({'key': key, 'revision': self.revision, 'deleted': True})
 
+    def copy(self) -> tuple[int, dict[str, Any]]:
+        """Returns a copy of the present content."""
+        return self.revision, dict(self.items)
+
+    def restore(self, copied: tuple[int, dict[str, Any]]) -> None:
+        """Comes back from a copy; what was written since is gone."""
+        self.revision, self.items = copied[0], dict(copied[1])
+        self.history.clear()
+        self._compacted = self.revision
+        self.era += 1
+        self.is_away = False
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def leave(self) -> None:
+        """Goes away; waiting watches end."""
+        self.is_away = True
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _publish(self, event: dict[str, Any]) -> None:
         self.history.append(event)
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def _answer(self, request: http_server.Request) -> http_server.Reply:
+        answer: http_server.Reply = http_server.Answer(404)
         if request.path == '/carobslip/kv-range':
-            return self._range(request)
-        if request.path == '/carobslip/kv-watch':
-            return await self._watch(request)
-        return http_server.Answer(404)
+            answer = self._range(request)
+        elif request.path == '/carobslip/kv-watch':
+            answer = await self._watch(request)
+        if self.is_away:
+            request.writer.transport.abort()
+            return http_server.Streamed()
+        if isinstance(answer, http_server.Answer):
+            answer.headers = (*answer.headers, ('Store-Era', str(self.era)))
+        return answer
 
     def _range(self, request: http_server.Request) -> http_server.Answer:
         prefix = request.query['prefix']
@@ -74,6 +105,9 @@
         if self.silences(prefix):
             return http_server.NoAnswer()
         after = int(request.query['after'])
+        if after < self._compacted or after > self.revision:
+            return http_server.Answer(410)
+        era = self.era
         wait_s = int(request.query['wait_ms']) / 1000
         until_s = asyncio.get_running_loop().time() + wait_s
         while True:
@@ -84,7 +118,9 @@
                 if event['revision'] > after and event['key'].startswith(prefix)
             ]
             left_s = until_s - asyncio.get_running_loop().time()
-            if events or left_s <= 0:
+            if era != self.era:
+                return http_server.Answer(410)
+            if events or left_s <= 0 or self.is_away:
                 return _json({'events': events, 'current_rev': self.revision})
             try:
                 async with asyncio.timeout(left_s):
