--- a/review/11/play.py
+++ b/review/11/play.py
@@ -110,4 +110,5 @@
 except Exception:
     traceback.print_exc()
     CODE = 2
-sys.exit(CODE)
+# The code 1 is also that of a script that does not start.
+sys.exit(11 if CODE == 1 else CODE)
