Make late orders to hold and release a group impossible

A `go` without an answer was carried out seconds later and ended a newer hold of the same pass, while one rank was armed and others not.

Cause: a hold was relied on although earlier orders of the same fencing number were outstanding. Nothing but their content could end them, and the content of `hold` and `go` is a pass number that a later attempt chooses again: within one long pass, or in an idle group in every switch.

Change: each switch, each attempt to hold and each order that takes back a lost hold has a fencing number of its own; preparing brings it to all ranks, and an answered hold to the rank that holds. Engines that check no numbers are told with `hold` and `go` how many orders they must have accepted (`expect`). On related paths: a lost hold is taken back by an order that the engine answers, so that it does not stand later; a coordinator that takes over relies on a hold, and on armed maps, only once engines have answered its number; the coordinator's own rank is disarmed last.

Test harness: the coordinators of tests/test_group_switch.py had the numbers 1, 2 and 3, below those that one coordinator uses now; they are as far apart as those of processes that start at different times.

--- a/src/carobslip/expertmap/_coordinator_numbers.py
+++ b/src/carobslip/expertmap/_coordinator_numbers.py
@@ -30,6 +30,18 @@
     return wall_ms * _NUMBER_STEP + own_rank
 
 
+def next_fence(fence: int, own_rank: int) -> int:
+    """Returns the next fencing number of the same coordinator.
+
+    Numbers rise by a millisecond of the clock from which they start, and there
+    are fewer orders than milliseconds, so that they do not outrun the clock.
+
+    >>> next_fence(2049, own_rank=1)
+    3073
+    """
+    return (fence // _NUMBER_STEP + 1) * _NUMBER_STEP + own_rank
+
+
 def raise_fence(highest: int, own_rank: int) -> int:
     """Returns a fencing number above those of the other coordinators.
 
--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -305,6 +305,7 @@
                 known=self._known_reports(),
             )
         self._version_used = switch.version
+        self._fence = switch.fence
         self._switch_ended_ms = self._clock.now_ms()
         self._margin.note_switch(switch.lost_orders, switch.arming_ms)
         switched = result is _switch.SwitchResult.SWITCHED
--- a/src/carobslip/expertmap/_group_map.py
+++ b/src/carobslip/expertmap/_group_map.py
@@ -34,6 +34,7 @@
         running: Requests in progress.
         waiting: Requests in its queue.
         pace: Duration of its work relative to the usual one.
+        seq: Orders that it has accepted since its start; None if not known.
     """
 
     group: identifiers.GroupId
@@ -49,6 +50,7 @@
     running: int = 0
     waiting: int = 0
     pace: float = 1.0
+    seq: int | None = None
 
 
 def join_ranks(by_rank: Sequence[Sequence[Sequence[int]]]) -> Layout:
--- a/src/carobslip/expertmap/_orders.py
+++ b/src/carobslip/expertmap/_orders.py
@@ -47,7 +47,9 @@
         step: Pass that the order concerns.
         layout: The complete layout of a map to prepare.
         with_experts: Whether the answer lists the experts that the rank holds.
-        is_undo: Whether the order undoes another coordinator's switch.
+        is_undo: Whether the order ends another coordinator's switch.
+        expected_seq: Orders that the engine must have accepted before; it
+            refuses the order otherwise. None for any number.
     """
 
     kind: OrderKind
@@ -59,6 +61,7 @@
     layout: _group_map.Layout = ()
     with_experts: bool = False
     is_undo: bool = False
+    expected_seq: int | None = None
 
 
 class RankAnswer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/tests/fakes/engine_group.py
+++ b/tests/fakes/engine_group.py
@@ -7,7 +7,12 @@
 
 GROUP = identifiers.GroupId('group')
 _PASS_S = 0.05
+#: Interval at which a held or idle group tries to begin its next pass.
+_TRY_S = 0.05
 _COPY_S = 0.1
+#: Time until a sender gives up an order, to its own machine and to another.
+_NO_ANSWER_S = (0.06, 0.15)
+_HOLD_ORDERS = frozenset((expertmap.OrderKind.HOLD, expertmap.OrderKind.GO))
 
 
 class SplitGroup(AssertionError):
@@ -27,19 +32,27 @@
         self.held = None
         self.fence = 0
         self.version_max = 0
+        #: Orders that have changed something.
+        self.seq = 0
 
     def apply(self, order):
         """Carries out an order; returns its outcome."""
         if self.group.is_fencing and order.fence < self.fence:
             return expertmap.OrderEnd.FENCED
         self.fence = order.fence
-        if order.epoch != self.group.epoch:
+        is_expected = order.expected_seq in {None, self.seq}
+        if order.epoch != self.group.epoch or not is_expected:
             return expertmap.OrderEnd.REFUSED
+        before = self._state()
         done = getattr(self, '_' + order.kind.value)(order)
+        self.seq += self._state() != before
         if done:
             return expertmap.OrderEnd.DONE
         return expertmap.OrderEnd.REFUSED
 
+    def _state(self):
+        return self.prepared, self.armed, self.held
+
     def _prepare(self, order):
         if self.prepared is not None and self.prepared[0] == order.version:
             return True
@@ -100,13 +113,76 @@
             armed=armed,
             held=self.held,
             running=1 if self.group.is_busy else 0,
+            seq=self.seq,
         )
 
 
+class DrawnLateness:
+    """Draws which orders get no answer, and when they are carried out.
+
+    The orders on which the safety of a switch depends are drawn more often:
+    those that hold and release the group, those that arm the coordinator's
+    rank, and those that disarm one drawn rank.
+
+    Args:
+        seed: Seed of the draws.
+        size: Ranks of the group.
+        late_s: Bounds of the time until an order is carried out.
+        hold_late_s: The same for orders that hold or release the group.
+    """
+
+    HOLD_SHARE = 0.6
+    ARM_SHARE = 0.95
+    DISARM_SHARE = 0.95
+    OTHER_SHARE = 0.03
+
+    def __init__(self, seed, size, *, late_s, hold_late_s):
+        self._random = random.Random(seed)
+        self._disarm_rank = self._random.randrange(size)
+        self._size = size
+        self._late_s = late_s
+        self._hold_late_s = hold_late_s
+        self.orders = 0
+        self.late_orders = 0
+
+    def __call__(self, rank, order):
+        self.orders += 1
+        if self._random.random() >= self._share(rank, order):
+            return None
+        self.late_orders += 1
+        is_hold = order.kind in _HOLD_ORDERS
+        return self._random.uniform(
+            *(self._hold_late_s if is_hold else self._late_s)
+        )
+
+    def _share(self, rank, order):
+        kind = order.kind
+        if (
+            kind in _HOLD_ORDERS
+            and rank == (order.coordinator_rank + 1) % self._size
+        ):
+            return self.HOLD_SHARE
+        is_arm = kind is expertmap.OrderKind.ARM
+        if is_arm and rank == order.coordinator_rank:
+            return self.ARM_SHARE
+        is_disarm = kind is expertmap.OrderKind.DISARM
+        if is_disarm and rank == self._disarm_rank:
+            return self.DISARM_SHARE
+        return self.OTHER_SHARE
+
+
 class FakeGroup:
-    """Engines that begin passes together."""
+    """Engines that begin passes together.
 
-    def __init__(self, size, seed):
+    Args:
+        size: Ranks.
+        seed: Seed of the delays and losses.
+        pass_s: Duration of a pass.
+    """
+
+    def __init__(self, size, seed, *, pass_s=_PASS_S):
+        self.pass_s = pass_s
+        self.switches = 0
         self.random = random.Random(seed)
         self.epoch = 1
         self.is_busy = True
@@ -130,16 +206,19 @@
             await self._thawed.wait()
 
     async def run(self):
+        wait_s = self.pass_s
         while True:
-            await asyncio.sleep(_PASS_S)
-            if self.is_busy:
-                self._try_pass()
+            await asyncio.sleep(wait_s)
+            has_begun = self.is_busy and self._try_pass()
+            wait_s = self.pass_s if has_begun else _TRY_S
 
     def _try_pass(self):
+        """Begins the next pass; tells whether it did."""
         step = self.engines[0].step + 1
         if any(engine.held == step for engine in self.engines):
-            self.held_s += _PASS_S
-            return
+            self.held_s += _TRY_S
+            return False
+        before = self.engines[0].map
         for engine in self.engines:
             engine.step = step
             if engine.armed is not None and engine.armed[1] == step:
@@ -148,12 +227,15 @@
         maps = {engine.map for engine in self.engines}
         if len(maps) != 1:
             raise SplitGroup(f'pass {step}: {maps}')
+        self.switches += self.engines[0].map != before
+        return True
 
-    async def deliver(self, engine, order):
+    async def deliver(self, engine, order, *, is_remote):
         """Sends an order over a connection that may lose or delay it."""
         await asyncio.sleep(self.random.uniform(0.0005, 0.004))
+        no_answer_s = _NO_ANSWER_S[is_remote]
         if engine.rank in self.frozen:
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(no_answer_s)
             return expertmap.OrderEnd.LOST
         delay_s = self.lateness(engine.rank, order)
         if delay_s is None:
@@ -163,7 +245,7 @@
         self.late.append(
             asyncio.ensure_future(self._apply_later(engine, order, delay_s))
         )
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(no_answer_s)
         return expertmap.OrderEnd.LOST
 
     async def _apply_later(self, engine, order, delay_s):
@@ -191,10 +273,15 @@
         await asyncio.sleep(0.001)
         if self._engine.rank in self._group.frozen:
             raise expertmap.EngineUnavailable('frozen')
-        return ((self._engine.rank,),)
+        layout = self._engine.map[1]
+        if layout is None:
+            return ((self._engine.rank,),)
+        return tuple(ranks[self._engine.rank] for ranks in layout)
 
     async def order(self, order):
-        return await self._group.deliver(self._engine, order)
+        return await self._group.deliver(
+            self._engine, order, is_remote=self._is_remote
+        )
 
 
 class FakeRanks:
--- a/tests/test_group_switch.py
+++ b/tests/test_group_switch.py
@@ -10,6 +10,9 @@
 from tests.fakes import engine_group, virtual
 
 SIZE = 4
+#: Numbers of coordinators that follow each other are far apart, as they begin
+#: with the time of their start.
+FENCES_APART = 1 << 20
 PRESENT = (tuple((rank,) for rank in range(SIZE)),)
 
 
@@ -29,9 +32,9 @@
 class SimulatedGroup:
     """A simulated group with one guard per rank."""
 
-    def __init__(self, seed, lost_share=0.0, *, is_fencing=True):
+    def __init__(self, seed, lost_share=0.0, *, is_fencing=True, **named):
         self.clock = clocks.LoopClock(epoch_ms=0)
-        self.group = engine_group.FakeGroup(SIZE, seed)
+        self.group = engine_group.FakeGroup(SIZE, seed, **named)
         self.group.is_fencing = is_fencing
         self.group.lost_share = lost_share
         self.dead_guards = set()
@@ -60,7 +63,7 @@
             size=SIZE,
             own_rank=own_rank,
             epoch=1,
-            fence=fence,
+            fence=fence * FENCES_APART,
             clock=self.clock,
             engines_fence=self.group.is_fencing,
             version_min=version_min,
@@ -200,7 +203,9 @@
         # A freeze between the ARM order to the coordinator's rank and its
         # answer leaves unknown whether that rank is armed. Only in this case
         # may the hold remain.
-        arming = await simulation.guards[2].order(_report_order(fence=2))
+        arming = await simulation.guards[2].order(
+            _report_order(fence=second.fence)
+        )
         in_doubt = arming.coordinator_in_doubt
         simulation.group.thaw()
         await first
@@ -286,7 +291,7 @@
                 return None
             if order.kind is expertmap.OrderKind.ARM:
                 return late_s
-            return 12 if order.fence == 2 else None
+            return 12 if order.fence // FENCES_APART == 2 else None
 
         group.lateness = lateness
         first = asyncio.ensure_future(
@@ -314,6 +319,146 @@
     virtual.run(scenario)
 
 
+class HeldLate:
+    """The first hold gets no answer, nor does the order that takes it back.
+
+    The coordinator's rank is not armed, and one rank not disarmed, until that
+    order has been carried out.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._step = None
+        self._until_ms = None
+
+    def __call__(self, rank, order):
+        if self._until_ms is None:
+            return self._hold_lateness(rank, order)
+        if self._clock.now_ms() > self._until_ms:
+            return None
+        is_own_arm = order.kind is expertmap.OrderKind.ARM and rank == 0
+        is_disarm = order.kind is expertmap.OrderKind.DISARM and rank == 3
+        return 12 if is_own_arm or is_disarm else None
+
+    def _hold_lateness(self, rank, order):
+        if self._step is None and order.kind is expertmap.OrderKind.HOLD:
+            self._step = order.step
+            return 12
+        is_go = order.kind is expertmap.OrderKind.GO and rank == 1
+        if self._step is None or not is_go:
+            return None
+        self._until_ms = self._clock.now_ms() + 1500
+        return 1.45
+
+
+@pytest.mark.parametrize('is_fencing', [True, False])
+def test_late_go_does_not_end_a_newer_hold_of_the_same_pass(is_fencing):
+    # Guards against: the pass begins while one rank is armed.
+    async def scenario():
+        simulation = SimulatedGroup(seed=1, is_fencing=is_fencing, pass_s=0.48)
+        group = simulation.group
+        lateness = HeldLate(simulation.clock)
+        group.lateness = lateness
+        switch = simulation.switch(own_rank=0, fence=1)
+        result = await switch.switch(_layout(1), PRESENT)
+        assert result is expertmap.SwitchResult.KEPT
+        await simulation.check(15)
+        assert simulation.is_settled()
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
+def test_lost_hold_does_not_stand_after_its_switch():
+    # Guards against: a hold that is accepted seconds after it was taken back
+    # stands until a coordinator notices it.
+    async def scenario():
+        simulation = SimulatedGroup(seed=1)
+        group = simulation.group
+        group.is_busy = False
+
+        def lateness(_rank, order):
+            return 3 if order.kind is expertmap.OrderKind.HOLD else None
+
+        group.lateness = lateness
+        switch = simulation.switch(own_rank=0, fence=1)
+        result = await switch.switch(_layout(1), PRESENT)
+        assert result is expertmap.SwitchResult.KEPT
+        await simulation.check(5)
+        assert all(engine.held is None for engine in group.engines)
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
+def test_late_disarm_of_a_killed_coordinator_does_not_split_the_group():
+    # Guards against: a coordinator relies on reports that all ranks are
+    # armed, while orders to disarm them are outstanding.
+    async def scenario():
+        simulation = SimulatedGroup(seed=1)
+        group = simulation.group
+        group.is_busy = False
+
+        def lateness(rank, order):
+            if order.kind is expertmap.OrderKind.DISARM:
+                return 1.5 if rank == 2 else 12
+            if order.kind is expertmap.OrderKind.ARM and rank == 0:
+                return 0.8
+            return 12 if order.is_undo else None
+
+        group.lateness = lateness
+        first = asyncio.ensure_future(
+            simulation.switch(own_rank=0, fence=1).switch(_layout(1), PRESENT),
+        )
+        await simulation.check(0.9)
+        first.cancel()
+        group.lateness = lambda rank, order: (
+            12 if order.kind is expertmap.OrderKind.GO and rank == 2 else None
+        )
+        assert all(engine.armed for engine in group.engines)
+        second = simulation.switch(own_rank=1, fence=2)
+        assert await second.recover(PRESENT) is expertmap.SwitchResult.ARMED
+        await simulation.check(3)
+        group.is_busy = True
+        await simulation.check(1)
+        assert simulation.is_settled()
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
+@pytest.mark.parametrize('is_idle', [False, True])
+def test_lost_takeover_of_a_hold_is_not_taken_for_one(is_idle):
+    # Guards against: a coordinator disarms ranks while a late order of the one
+    # before can still release the group.
+    async def scenario():
+        simulation = SimulatedGroup(seed=1)
+        group = simulation.group
+        engines = group.engines
+        for engine in engines:
+            engine.prepared = (1024, _layout(1))
+            engine.armed = (1024, 20)
+        engines[2].armed = None
+        engines[1].held = 20
+        group.is_busy = not is_idle
+
+        def lateness(rank, order):
+            return 12 if order.kind is expertmap.OrderKind.HOLD else None
+
+        group.lateness = lateness
+        second = simulation.switch(own_rank=1, fence=2)
+        assert await second.recover(PRESENT) is expertmap.SwitchResult.KEPT
+        assert engines[1].held == 20
+        assert engines[3].armed == (1024, 20)
+        group.lateness = lambda rank, order: None
+        await second.recover(PRESENT)
+        await simulation.check(13)
+        assert simulation.is_settled()
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
 class CountedControl(engine_group.FakeControl):
     """Counts the reads during which a group pauses."""
 
