Do not take a restarted guard's lack of knowledge for a rank that is not armed

What callers could see: a split group (MAP).

Cause: a coordinator that takes over while the machine of the one before hangs asks the guard that armed that machine's rank. A guard that had started again since answered that it had armed nothing, which was believed, and the group was released with that rank armed. A refusal also ended the doubt about an earlier order without an answer, though it may come from the connection alone.

Change: the guard's knowledge counts only if it has seen the switch begin since its own start; otherwise the hold stays until the rank can be asked. A refusal leaves an earlier doubt as it is.

--- a/src/carobslip/expertmap/_orders.py
+++ b/src/carobslip/expertmap/_orders.py
@@ -72,8 +72,8 @@
         report: The engine's report; None if it gave none.
         experts: Experts in use at this rank by set, if requested.
         fence: Highest fencing number known at the rank.
-        coordinator_rank: Rank of the last coordinator that prepared or armed a
-            map for a switch of its own.
+        coordinator_rank: Rank of the last coordinator that prepared a map for
+            a switch of its own since this guard has started.
         coordinator_armed_map: The switch for which this guard armed the
             coordinator's rank, if it did.
         coordinator_in_doubt: Whether this guard tried to arm the coordinator's
--- a/src/carobslip/expertmap/_rank_guard.py
+++ b/src/carobslip/expertmap/_rank_guard.py
@@ -10,9 +10,6 @@
 #: A copy that takes longer than this multiple of its usual time has failed.
 _COPY_TIMEOUT_FACTOR: Final = 4
 _COPY_POLL_S: Final = 0.02
-#: Orders that identify the coordinator of the switch in progress; orders that
-#: end or undo a switch do not.
-_SWITCH_ORDERS: Final = (_orders.OrderKind.PREPARE, _orders.OrderKind.ARM)
 #: Reports that engines send to other machines lag by this time.
 _REPORT_LAG_S: Final = 0.25
 
@@ -37,12 +34,11 @@
         if order.fence < self._fence:
             return self._fenced()
         self._fence = order.fence
-        is_switch = order.kind in _SWITCH_ORDERS and not order.is_undo
-        if is_switch and order.kind is _orders.OrderKind.PREPARE:
-            # A new switch begins only after the previous one has ended.
+        if order.kind is _orders.OrderKind.PREPARE and not order.is_undo:
+            # A new switch begins only after the previous one has ended. A guard
+            # that was started later does not know what was armed before.
             self._coordinator_armed_map = None
             self._coordinator_in_doubt = False
-        if is_switch:
             self._coordinator_rank = order.coordinator_rank
         answer = await send_order(
             self._engine,
@@ -70,6 +66,7 @@
         if order.fence < self._fence:
             return self._fenced()
         self._fence = order.fence
+        was_in_doubt = self._coordinator_in_doubt
         self._coordinator_in_doubt = True
         end = await engine.order(order)
         if end is _orders.OrderEnd.DONE:
@@ -77,7 +74,10 @@
                 version=order.version,
                 step=order.step,
             )
-        self._coordinator_in_doubt = end is _orders.OrderEnd.LOST
+        # A refusal ends no earlier order, as it may come from the connection.
+        is_lost = end is _orders.OrderEnd.LOST
+        is_refused = end is _orders.OrderEnd.REFUSED
+        self._coordinator_in_doubt = is_lost or (is_refused and was_in_doubt)
         return _orders.RankAnswer(end=end, fence=order.fence)
 
     def _fenced(self) -> _orders.RankAnswer:
--- a/src/carobslip/expertmap/_switch_recovery.py
+++ b/src/carobslip/expertmap/_switch_recovery.py
@@ -187,12 +187,13 @@
         }
         if len(absent) != 1 or coordinator_ranks != absent:
             return None
-        arming = (min(absent) + 2) % self._sender.size
-        if arming not in answers:
+        answer = answers.get((min(absent) + 2) % self._sender.size)
+        if answer is None or answer.coordinator_rank not in absent:
+            # It does not answer, or has started since and knows nothing.
             return None
-        if answers[arming].coordinator_in_doubt:
+        if answer.coordinator_in_doubt:
             return None
-        armed = answers[arming].coordinator_armed_map
+        armed = answer.coordinator_armed_map
         return [] if armed is None else [armed]
 
 
--- a/tests/test_group_switch.py
+++ b/tests/test_group_switch.py
@@ -459,6 +459,69 @@
     virtual.run(scenario)
 
 
+def test_restarted_guard_does_not_tell_that_the_coordinator_is_not_armed():
+    # Guards against: the guard that armed the coordinator's rank has started
+    # again, and its lack of knowledge is taken for a rank that is not armed.
+    async def scenario():
+        simulation = SimulatedGroup(seed=1)
+        group = simulation.group
+        group.is_busy = True
+
+        def lateness(rank, order):
+            return 12 if order.kind is expertmap.OrderKind.GO else None
+
+        group.lateness = lateness
+        first = asyncio.ensure_future(
+            simulation.switch(own_rank=0, fence=1).switch(_layout(1), PRESENT),
+        )
+        await simulation.check(0.2)
+        assert all(engine.armed for engine in group.engines)
+        # The machine of the coordinator hangs, and the guard that armed its
+        # rank starts again; another rank has been disarmed meanwhile.
+        group.frozen.add(0)
+        group.engines[3].armed = None
+        simulation.guards[2] = expertmap.RankGuard(
+            engine=engine_group.FakeControl(group, 2, is_remote=False),
+        )
+        group.lateness = lambda rank, order: None
+        second = simulation.switch(own_rank=1, fence=2)
+        assert await second.recover(PRESENT) is expertmap.SwitchResult.KEPT
+        await simulation.check(1)
+        assert group.engines[1].held is not None
+        group.thaw()
+        await first
+        await second.recover(PRESENT)
+        await simulation.check(14)
+        assert simulation.is_settled()
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
+def test_refused_connection_does_not_end_the_doubt_about_an_earlier_order():
+    # Guards against: an order to arm the coordinator's rank is forgotten while
+    # it can still be carried out.
+    async def scenario():
+        ends = [expertmap.OrderEnd.LOST, expertmap.OrderEnd.REFUSED]
+
+        class Engine:
+            async def order(self, order):
+                return ends.pop(0)
+
+        simulation = SimulatedGroup(seed=1)
+        guard = simulation.guards[2]
+        order = expertmap.RankOrder(
+            kind=expertmap.OrderKind.ARM, epoch=1, fence=1, version=3, step=9
+        )
+        for _ in range(2):
+            await guard.arm_coordinator(order, Engine())
+        answer = await guard.order(_report_order(fence=1))
+        assert answer.coordinator_in_doubt
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
 class CountedControl(engine_group.FakeControl):
     """Counts the reads during which a group pauses."""
 
