Read the layout in use also while ranks are armed, to end a switch

What callers saw: in groups whose engines check no fencing numbers, a group stayed held after a kill of the coordinator.

Cause: a coordinator that ends another one's switch needs the layout in use to prepare a neutral map. The read of the layout gives up while ranks are armed, which is right for plans only: there the next passes have another layout.

--- a/src/carobslip/expertmap/_group_coordinator.py
+++ b/src/carobslip/expertmap/_group_coordinator.py
@@ -281,7 +281,7 @@
         plan: _balance.BalancePlan | _plan.MapPlan | None,
     ) -> None:
         if layout is None:
-            layout = await self._fetch_layout(size)
+            layout = await self._fetch_layout(size, may_be_armed=plan is None)
         began_ms = self._clock.now_ms()
         self._switch_began_ms = began_ms
         margin = self._choose_margin()
@@ -342,13 +342,16 @@
             return self._margin.by_losses()
         return self._margin.by_times()
 
-    async def _fetch_layout(self, size: int) -> _group_map.Layout | None:
+    async def _fetch_layout(
+        self, size: int, *, may_be_armed: bool = False
+    ) -> _group_map.Layout | None:
         """Fetches the experts of every rank; raises the fence if needed."""
         fetch = _layout_fetch.LayoutFetch(
             ranks=self._ranks,
             own_rank=self._own_rank,
             epoch=self._epoch,
             fence=self._fence,
+            may_be_armed=may_be_armed,
         )
         layout = await fetch.run(size)
         self._fence = fetch.fence
--- a/src/carobslip/expertmap/_layout_fetch.py
+++ b/src/carobslip/expertmap/_layout_fetch.py
@@ -19,6 +19,8 @@
         epoch: The group's epoch.
         fence: Fencing number of the coordinator; raised if ranks know a higher
             one.
+        may_be_armed: Whether the layout in use is wanted also if ranks are
+            armed for another one, as a coordinator does that ends a switch.
     """
 
     def __init__(
@@ -28,7 +30,9 @@
         own_rank: int,
         epoch: int,
         fence: int,
+        may_be_armed: bool = False,
     ) -> None:
+        self._may_be_armed = may_be_armed
         self._ranks = ranks
         self._own_rank = own_rank
         self._epoch = epoch
@@ -78,7 +82,8 @@
         if not _have_same_map(answers):
             self.why = 'ranks have different maps'
             return None
-        if any(one.report and one.report.armed for one in answers):
+        is_armed = any(one.report and one.report.armed for one in answers)
+        if is_armed and not self._may_be_armed:
             # The ranks will have another layout with the next passes.
             self.why = 'a switch is armed'
             return None
--- a/tests/test_layout_fetch.py
+++ b/tests/test_layout_fetch.py
@@ -48,3 +48,16 @@
     )
     assert await fetch.run(2) == layout
     assert fetch.why == why
+
+
+async def test_coordinator_that_ends_a_switch_learns_the_layout_in_use():
+    # Guards against: a switch whose ranks are armed is never undone where
+    # engines check no fencing numbers, and the group stays held.
+    fetch = _layout_fetch.LayoutFetch(
+        ranks=Ranks(expertmap.ArmedMap(version=4, step=9)),
+        own_rank=0,
+        epoch=1,
+        fence=1,
+        may_be_armed=True,
+    )
+    assert await fetch.run(2) == (((0,), (1,)),)
