Read the list of targets anew before a failed watch counts as an outage

Cause: any watch without an answer counted as an outage of the store, and around an outage targets whose removal is read stay in use. One connection says nothing about the store; no second one was asked. The times were constants and longer than the time after which an entry is in touch again.

Change: after a failed watch all entries are read over a new connection. The store was away if that fails too, or if it has answered nothing for two heartbeat intervals, within which entries cannot expire. The watch of the configuration goes the same way.

--- a/src/carobslip/observability/_events.py
+++ b/src/carobslip/observability/_events.py
@@ -116,6 +116,12 @@
         'This process reads the configuration itself, because no watcher could '
         'tell what is published now, or learns it from watchers again.',
     )
+    WATCH_FAILED = (
+        215,
+        'watch-failed',
+        'A watch ended without a usable answer; all items are read over a new '
+        'connection.',
+    )
     MEMBER_CHANGED = (
         301,
         'member-changed',
