Replace control connections on which a peer has answered nothing for a second

What callers could see: after an exchange's connection goes silent for good, an entry takes its peer for gone, and learns neither loads, permits nor news of the configuration from it until a process ends.

Cause: the messaging library sets no keep-alive, and a request on a silent connection only times out; the next ones use the same connection.

Change: a socket is closed if a call times out and no call on it was answered for a second; the next call opens a connection.

Evidence: tests/test_control_transport.py with a forwarder whose open connections go silent: 30 calls in 3 s failed before; answered again after.

--- a/src/carobslip/adapters/control_nng.py
+++ b/src/carobslip/adapters/control_nng.py
@@ -21,6 +21,9 @@
 #: the answers before them. Several requests for slots arrive at once.
 _BURST_WAITS: Final = 4
 _BURST_WAIT_S: Final = 0.005
+#: A connection on which calls got no answer for this time is replaced. It may
+#: have gone silent for good, and the library would use it without an end.
+_SILENT_S: Final = 1.0
 #: Timeout for sending an answer, which is then dropped: the request of the peer
 #: has timed out by then, and other requests wait for the worker.
 _SEND_TIMEOUT_S: Final = 1.0
@@ -57,6 +60,8 @@
             collections.OrderedDict()
         )
         self._used_s: dict[str, float] = {}
+        #: When the first call since the last answer began on each socket.
+        self._unanswered_s: dict[str, float] = {}
         self._unsent: collections.Counter[int] = collections.Counter()
         self._server: Any = None
         self._is_closing = False
@@ -76,8 +81,10 @@
         Raises:
             PeerUnreachable: No answer came within ``timeout_ms``.
         """
-        context = self._socket(address).new_context()
+        socket = self._socket(address)
+        context = socket.new_context()
         loop = asyncio.get_running_loop()
+        self._unanswered_s.setdefault(address, loop.time())
         deadline_s = loop.time() + timeout_ms / 1000
         try:
             async with asyncio.timeout_at(deadline_s):
@@ -89,9 +96,12 @@
                 answer: bytes = await context.arecv()
             _raise_swallowed_cancellation()
         except (TimeoutError, pynng.NNGException) as fault:
+            self._replace_if_silent(address, socket)
             raise control.PeerUnreachable(f'{address}: {fault!r}') from None
         finally:
             _close(context)
+        if self._sockets.get(address) is socket:
+            self._unanswered_s.pop(address, None)
         self.sent_bytes += len(frame)
         self.received_bytes += len(answer)
         return answer
@@ -189,8 +199,20 @@
             is_idle = self._used_s.get(address, oldest_s) < oldest_s
             if not is_idle and len(self._sockets) <= _SOCKETS_MAX:
                 return
-            self._sockets.pop(address).close()
-            self._used_s.pop(address, None)
+            self._drop(address)
+
+    def _replace_if_silent(self, address: str, socket: Any) -> None:
+        """Closes a socket without answers; the next call opens another one."""
+        if self._sockets.get(address) is not socket:
+            return
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._unanswered_s.get(address, now_s) >= _SILENT_S:
+            self._drop(address)
+
+    def _drop(self, address: str) -> None:
+        self._sockets.pop(address).close()
+        self._used_s.pop(address, None)
+        self._unanswered_s.pop(address, None)
 
 
 def _close(context: Any) -> None:
--- a/tests/test_control_transport.py
+++ b/tests/test_control_transport.py
@@ -191,3 +191,71 @@
     assert written.count(observability.Event.PEER_REQUEST_FAILED) == 1
     await client.close()
     await server.close()
+
+
+class Forwarder:
+    """Forwards connections to an address, until they go silent for good."""
+
+    def __init__(self, address):
+        self._address = address.split(':')
+        self._tasks = []
+        self._silent = set()
+        self._writers = []
+
+    async def start(self):
+        server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        self._server = server
+        return f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+
+    def silence(self):
+        """Makes all open connections silent; later ones work."""
+        self._silent.update(self._tasks)
+
+    async def _accept(self, reader, writer):
+        other_reader, other_writer = await asyncio.open_connection(
+            *self._address
+        )
+        self._writers += [writer, other_writer]
+        self._tasks += [
+            asyncio.ensure_future(self._forward(reader, other_writer)),
+            asyncio.ensure_future(self._forward(other_reader, writer)),
+        ]
+
+    async def _forward(self, reader, writer):
+        while content := await reader.read(4096):
+            if asyncio.current_task() not in self._silent:
+                writer.write(content)
+
+    async def close(self):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for writer in self._writers:
+            writer.close()
+
+
+async def test_connection_to_a_peer_that_goes_silent_is_replaced():
+    # Guards against: a peer counts as gone for good, as its one connection
+    # carries nothing any more.
+    address = free_address()
+    server = control_nng.NngTransport()
+    client = control_nng.NngTransport()
+
+    async def handle(frame):
+        return b'noted'
+
+    await server.serve(address, handle)
+    forwarder = Forwarder(address)
+    forwarded = await forwarder.start()
+    assert await client.call(forwarded, b'news', 1000) == b'noted'
+    forwarder.silence()
+    answered = False
+    for _attempt in range(30):
+        with contextlib.suppress(control.PeerUnreachable):
+            await client.call(forwarded, b'news', 100)
+            answered = True
+            break
+    assert answered
+    await client.close()
+    await forwarder.close()
+    await server.close()
