Take over each hold that the decisive reports of a group show

What callers could see: a split group (MAP), where the rank that holds it answers only the second of two reads of a coordinator that takes over.

Cause: holds seen in the first read were taken over, and those seen in the second one relied on. A hold that an engine no longer reports after the order counted as taken over.

Change: the switch is ended only if each hold of the second read has been taken over; otherwise the next attempt does.

Evidence: a test in tests/test_group_switch.py, which failed before.

--- a/src/carobslip/expertmap/_switch_recovery.py
+++ b/src/carobslip/expertmap/_switch_recovery.py
@@ -41,10 +41,11 @@
         Raises:
             Superseded: Another coordinator is active.
         """
-        if not await self._take_over_holds():
+        taken_over = await self._take_over_holds()
+        answers = await self._sender.fetch_reports()
+        if not _holds_in(answers).items() <= taken_over.items():
             self.why = 'holds are not taken over'
             return
-        answers = await self._sender.fetch_reports()
         reports = _order_sender.reports_in(answers)
         armed = [one.armed for one in reports if one.armed is not None]
         if not armed and not _steps_held(reports):
@@ -62,7 +63,7 @@
         else:
             await self._undo_all(reports, present, absent)
 
-    async def _take_over_holds(self) -> bool:
+    async def _take_over_holds(self) -> dict[int, int]:
         """Prevents other coordinators from ending a hold.
 
         A coordinator that is still alive, or an order of it that is still to
@@ -70,17 +71,14 @@
         Repeating its hold with a higher fencing number prevents that.
 
         Returns:
-            Whether all engines that hold the group have answered.
+            Pass by rank of the holds that are taken over.
         """
-        held = {
-            rank: answer.report.held
-            for rank, answer in (await self._sender.fetch_reports()).items()
-            if answer.report is not None and answer.report.held is not None
+        held = _holds_in(await self._sender.fetch_reports())
+        return {
+            rank: step
+            for rank, step in held.items()
+            if await self._take_over_hold(rank, step)
         }
-        for rank, step in held.items():
-            if not await self._take_over_hold(rank, step):
-                return False
-        return True
 
     async def _take_over_hold(self, rank: int, step: int) -> bool:
         order = self._sender.order(_orders.OrderKind.HOLD, step=step)
@@ -88,9 +86,6 @@
             answer = await self._sender.send(rank, order)
             if answer.end is _orders.OrderEnd.DONE:
                 return True
-            if answer.report is not None and answer.report.held != step:
-                # The group goes on; what it reports now decides.
-                return True
         return False
 
     async def _finish(
@@ -197,5 +192,14 @@
         return [] if armed is None else [armed]
 
 
+def _holds_in(answers: dict[int, _orders.RankAnswer]) -> dict[int, int]:
+    """Returns the pass that each rank holds, by rank."""
+    return {
+        rank: answer.report.held
+        for rank, answer in answers.items()
+        if answer.report is not None and answer.report.held is not None
+    }
+
+
 def _steps_held(reports: Sequence[_group_map.RankReport]) -> set[int]:
     return {one.held for one in reports if one.held is not None}
--- a/tests/test_group_switch.py
+++ b/tests/test_group_switch.py
@@ -459,6 +459,33 @@
     virtual.run(scenario)
 
 
+def test_hold_that_only_a_later_report_shows_is_taken_over_first():
+    # Guards against: ranks are disarmed while a late order of an earlier
+    # coordinator can still release the group.
+    async def scenario():
+        simulation = SimulatedGroup(seed=1)
+        engines = simulation.group.engines
+        for engine in engines:
+            engine.prepared = (1024, _layout(1))
+            engine.armed = (1024, 20)
+        engines[2].armed = None
+        engines[1].held = 20
+        second = simulation.switch(own_rank=3, fence=2)
+        simulation.group.frozen.add(1)
+        undo = asyncio.ensure_future(second.recover(PRESENT))
+        await simulation.check(0.1)
+        simulation.group.thaw()
+        await undo
+        assert engines[1].held == 20
+        assert engines[3].armed == (1024, 20)
+        await second.recover(PRESENT)
+        await simulation.check(1)
+        assert simulation.is_settled()
+        await simulation.close()
+
+    virtual.run(scenario)
+
+
 def test_restarted_guard_does_not_tell_that_the_coordinator_is_not_armed():
     # Guards against: the guard that armed the coordinator's rank has started
     # again, and its lack of knowledge is taken for a rank that is not armed.
