Serve known keys under an old configuration where revocation is not strict

What callers saw: 503 (not-current) for sound requests in a silent outage of the store, where the sheet says `revoke_strict: false`.

Cause: the setting was read nowhere, and all keys of a configuration that had not been confirmed for 0.9 x `revoke_ms` were refused.

Change: without it known keys are served; unknown keys and routes are refused as before, since a newer configuration may have them. With it, as in all sheets in force, nothing changes.

Evidence: a test in tests/test_forwarding.py and one in tests/test_users_platform.py; both fail without the change.

--- a/src/carobslip/forwarding/_context.py
+++ b/src/carobslip/forwarding/_context.py
@@ -15,11 +15,14 @@
     Attributes:
         key_age_max_ms: A request with a key is served only while the
             configuration was known to be the newest one within this time.
+        refuses_old_keys: Whether that holds also for keys that the
+            configuration knows. Those that it lacks may be newer.
         cold_factor: Multiple of ``cold_rps`` that a cold target may get.
         cold_extra_rps: Requests a second on top of that.
     """
 
     key_age_max_ms: float = 5000
+    refuses_old_keys: bool = True
     cold_factor: float = 1
     cold_extra_rps: float = 0
 
--- a/src/carobslip/forwarding/_forwarder.py
+++ b/src/carobslip/forwarding/_forwarder.py
@@ -272,6 +272,10 @@
             async with asyncio.timeout(wait_ms / 1000):
                 await self._configured.wait()
 
+    def _is_doubtful(self, team: configuration.Team | None) -> bool:
+        """Tells whether an old configuration does not decide about a key."""
+        return team is None or self.rules.refuses_old_keys
+
     def _prepare(
         self,
         request: _request.ForwardRequest,
@@ -292,7 +296,7 @@
         team: configuration.Team | None = None
         if index.needs_keys and not route.public:
             team = index.find_team(request.api_key)
-            if is_old:
+            if is_old and self._is_doubtful(team):
                 return _refuse_with_short_retry(_Reason.NOT_CURRENT)
             if team is None:
                 return verdicts.not_run(_Reason.UNKNOWN_KEY)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from carobslip import configuration, identifiers, targets, verdicts
+from carobslip import (
+    configuration,
+    forwarding,
+    identifiers,
+    targets,
+    verdicts,
+)
 from tests.fakes import forwarding as fakes
 from tests.fakes import virtual
 
@@ -202,6 +208,22 @@
     virtual.run(scenario)
 
 
+def test_known_key_is_served_under_an_old_configuration_if_operators_allow_it():
+    # Guards against: sound requests are refused while the store is away.
+    async def scenario():
+        entry = fakes.Entry(held=fakes.table())
+        entry.forwarder.rules = forwarding.ForwardingRules(
+            key_age_max_ms=4500, refuses_old_keys=False
+        )
+        await asyncio.sleep(4.6)
+        outcome, _caller = await entry.send('/book/x')
+        assert outcome.verdict is RAN
+        outcome, _caller = await entry.send('/book/x', api_key='unknown')
+        assert outcome.reason is Reason.NOT_CURRENT
+
+    virtual.run(scenario)
+
+
 def test_request_waits_for_the_configuration_of_a_starting_entry():
     async def scenario():
         entry = fakes.Entry()
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -18,6 +18,7 @@
     headers,
     settings,
     sources,
+    start,
     store,
 )
 
@@ -760,6 +761,20 @@
     assert own.engine_address is None
 
 
+@pytest.mark.parametrize('is_strict', [True, False])
+def test_operators_decide_whether_old_keys_are_refused(
+    tmp_path, monkeypatch, is_strict
+):
+    path = tmp_path / 'node.yaml'
+    word = str(is_strict).lower()
+    path.write_text(
+        SETTINGS.replace('{revoke', f'{{revoke_strict: {word}, revoke')
+    )
+    monkeypatch.setenv('CAROBSLIP_NODE_FILE', str(path))
+    bounds = settings.read_settings().bounds
+    assert start._rules_of(bounds).refuses_old_keys is is_strict
+
+
 @pytest.mark.parametrize('line', ['port_range: [10]', 'node: 5', '{'])
 def test_invalid_settings_error_names_the_file(tmp_path, monkeypatch, line):
     path = tmp_path / 'node.yaml'
