Test that engines are told the count of accepted orders

The field that makes late orders impossible where engines check no fencing numbers was tested with fakes alone. The test sends orders over HTTP with and without it, and reads the count from a report.

--- a/tests/test_late_map_orders.py
+++ b/tests/test_late_map_orders.py
@@ -5,9 +5,12 @@
 """
 
 import asyncio
+import json
 import random
 
 import pytest
+from aiohttp import web
+from users_platform import connections, engine_control
 
 from carobslip import clocks, expertmap
 from tests.fakes import cluster, engine_group, virtual
@@ -195,3 +198,61 @@
 def test_late_orders_do_not_split_a_group_that_does_not_fence(seed, is_light):
     # Guards against: engines that ignore fencing numbers accept late orders.
     _check(seed, 'all', is_light=is_light, is_fencing=False)
+
+
+class RecordingEngine:
+    """Accepts orders over HTTP, and tells how many it has accepted."""
+
+    async def start(self):
+        self.orders = []
+        application = web.Application()
+        application.router.add_get('/carobslip/report', self._report)
+        application.router.add_post('/carobslip/order', self._order)
+        self._runner = web.AppRunner(application)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, '127.0.0.1', 0)
+        await site.start()
+        return f'127.0.0.1:{site._server.sockets[0].getsockname()[1]}'
+
+    async def stop(self):
+        await self._runner.cleanup()
+
+    async def _report(self, request):
+        group = {'name': 'g-1', 'epoch': 1, 'rank': 0, 'state': 'open'}
+        return web.json_response({'group': group, 'size': 8, 'seq': 41})
+
+    async def _order(self, request):
+        self.orders.append(json.loads(await request.text()))
+        return web.Response(status=202)
+
+
+@pytest.mark.parametrize(
+    ('expected_seq', 'fields'),
+    [(None, {}), (0, {'expect': 0}), (41, {'expect': 41})],
+)
+async def test_engine_is_told_how_many_orders_it_must_have_accepted(
+    expected_seq, fields
+):
+    # Guards against: an engine that checks no numbers is not told, or reports
+    # the count in a way that is not read.
+    engine = RecordingEngine()
+    address = await engine.start()
+    session = connections.new_session(idle_s=None)
+    client = engine_control.EngineControlClient(
+        address=address, session=session, timeout_s=1
+    )
+    assert (await client.report()).seq == 41
+    await client.order(
+        expertmap.RankOrder(
+            kind=expertmap.OrderKind.GO,
+            epoch=1,
+            fence=5,
+            step=7,
+            expected_seq=expected_seq,
+        )
+    )
+    assert engine.orders == [
+        {'operation': 'go', 'epoch': 1, 'fencing_token': 5, 'step': 7, **fields}
+    ]
+    await session.close()
+    await engine.stop()
